--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -25,6 +25,9 @@
   CallId m_call;
   TimePoint m_deadline;     // past it the answer is worthless
   uint8_t m_priority = 100; // higher is more important; by service settings
+  // Past it the answer is worth little; max(): no latency objective.
+  TimePoint m_goal = TimePoint::max();
+  uint32_t m_class = 0; // requests of one class take similar work
 };
 
 enum class AdmissionVerdict : uint8_t
@@ -111,6 +114,17 @@
   virtual void SetSettings(const AdmissionSettings& aSettings) = 0;
   // The target says that it is in a cold start again.
   virtual void SetCold(TimePoint aNow) = 0;
+  // The target states how long its cold start lasts; zero: it is warm.
+  virtual void SetColdFor(Duration aLeft, TimePoint aNow)
+  {
+    if (aLeft > Duration::zero()) {
+      SetCold(aNow);
+    }
+  }
+  // Requests per second that the target bears while it is cold; 0: unknown.
+  virtual void SetColdRate(double /*aPerSecond*/) {}
+  // Time that work takes at this moment, in % of the usual.
+  virtual void SetSlowness(uint32_t /*aPercent*/) {}
 
   // Typical service time of warm targets of the same service, from their load
   // reports. A target without a history of its own is then warm only when it
@@ -139,7 +153,13 @@
 // [5] Factory
 //-----------------------------------------------------------------------------
 
+// Finds the target's limit and its cold starts from latency and failures.
 std::unique_ptr<Admission>
 MakeAdmission(AdmissionSettings aSettings);
 
+// For targets that state their cold starts and their load: the limit is the
+// number of slots, and a cold target gets requests at the stated rate.
+std::unique_ptr<Admission>
+MakeStatedAdmission(AdmissionSettings aSettings);
+
 } // namespace sassafrasquay
--- /dev/null
+++ b/src/admission/stated_admission.cpp
@@ -0,0 +1,471 @@
+// Admission beside a target that states its cold starts and its load.
+#include "admission/admission.h"
+#include "lifecycle/lifecycle.h"
+
+#include <algorithm>
+#include <deque>
+#include <unordered_map>
+#include <utility>
+
+namespace sassafrasquay {
+
+namespace {
+
+// Window of the rate at which a cold target gets requests.
+constexpr Duration kRateWindow = std::chrono::seconds(1);
+// Weight of one completion in what is typical of its class.
+constexpr double kTypicalGain = 0.05;
+// Share of the stated slowness that counts for work that begins now: spells of
+// slowness are shorter than most work, so the later part runs at usual speed.
+constexpr double kSlownessShare = 0.5;
+
+double
+ToSeconds(Duration aDuration)
+{
+  return FloatSeconds(aDuration).count();
+}
+
+Duration
+FromSeconds(double aSeconds)
+{
+  return std::chrono::duration_cast<Duration>(FloatSeconds(aSeconds));
+}
+
+class StatedAdmission : public Admission
+{
+public:
+  explicit StatedAdmission(AdmissionSettings aSettings)
+    : m_settings(aSettings)
+  {
+  }
+
+  void SetTarget(uint32_t aSlots,
+                 uint64_t aIncarnation,
+                 TimePoint aNow) override;
+  void ClearTarget(TimePoint aNow) override;
+  void SetLeaving(bool aLeaving, TimePoint aNow) override;
+  void SetZoneOut(bool aOut, TimePoint aNow) override;
+  void SetSettings(const AdmissionSettings& aSettings) override
+  {
+    m_settings = aSettings;
+  }
+  void SetCold(TimePoint aNow) override;
+  void SetColdFor(Duration aLeft, TimePoint aNow) override;
+  void SetColdRate(double aPerSecond) override { m_coldRate = aPerSecond; }
+  void SetSlowness(uint32_t aPercent) override { m_slowness = aPercent; }
+  AdmissionResult Offer(const AdmissionRequest& aRequest,
+                        TimePoint aNow) override;
+  std::vector<AdmissionEvent> Finish(const CallId& aCall,
+                                     const Outcome& aOutcome,
+                                     TimePoint aNow) override;
+  bool Withdraw(const CallId& aCall, TimePoint aNow) override;
+  std::vector<AdmissionEvent> Tick(TimePoint aNow) override;
+  TimePoint NextTick() const override;
+  LoadReport Report(TimePoint aNow) const override;
+
+private:
+  struct Running
+  {
+    uint64_t m_generation = 0;
+    uint32_t m_class = 0;
+  };
+
+  ResultCode Closed() const;
+  bool IsCold() const { return m_now < m_coldUntil; }
+  bool HasFreeSlot() const;
+  bool HasColdToken() const;
+  bool IsKnown(const CallId& aCall) const;
+  Duration Expected(uint32_t aClass) const;
+  Duration WaitFor(const AdmissionRequest& aRequest) const;
+  bool MakesGoal(const AdmissionRequest& aRequest) const;
+  bool GoesBefore(const AdmissionRequest& aLeft,
+                  const AdmissionRequest& aRight) const;
+  AdmissionResult Enqueue(const AdmissionRequest& aRequest);
+  void Learn(uint32_t aClass, const Outcome& aOutcome);
+  void Start(const AdmissionRequest& aRequest);
+  void Refuse(const CallId& aCall, ResultCode aCode)
+  {
+    m_pending.push_back({ aCall, false, aCode });
+  }
+  void RefuseAll(ResultCode aCode);
+  std::vector<AdmissionEvent> Pump(TimePoint aNow);
+  void Advance(TimePoint aNow);
+
+  AdmissionSettings m_settings;
+  TargetLifecycle m_life;
+  std::vector<AdmissionRequest> m_queue;
+  std::unordered_map<CallId, Running> m_running;
+  std::vector<AdmissionEvent> m_pending; // verdicts that no call has returned
+  std::deque<TimePoint> m_starts;        // within the last kRateWindow
+  std::unordered_map<uint32_t, double> m_typical; // seconds, by class
+  double m_mean = 0;                              // seconds, of all classes
+  uint64_t m_generation = 0; // counts the processes behind this target
+  uint32_t m_inFlight = 0;   // of the current generation
+  uint32_t m_slots = 0;
+  uint32_t m_slowness = 100;
+  double m_coldRate = 0; // requests per second; 0: not stated
+  TimePoint m_coldUntil{};
+  bool m_zoneOut = false;
+  TimePoint m_now{}; // latest time seen
+};
+
+//-----------------------------------------------------------------------------
+// State of the target
+//-----------------------------------------------------------------------------
+
+void
+StatedAdmission::Advance(TimePoint aNow)
+{
+  m_now = std::max(m_now, aNow);
+  while (!m_starts.empty() && m_now - m_starts.front() >= kRateWindow) {
+    m_starts.pop_front();
+  }
+}
+
+void
+StatedAdmission::SetTarget(uint32_t aSlots,
+                           uint64_t aIncarnation,
+                           TimePoint aNow)
+{
+  Advance(aNow);
+  m_slots = aSlots;
+  // A target that was wrongly taken for lost still works on what it has.
+  const bool sameProcess = m_life.Incarnation() == aIncarnation;
+  if (m_life.Announce(aIncarnation) && !sameProcess) {
+    ++m_generation;
+    m_inFlight = 0;
+    m_slowness = 100;
+  }
+}
+
+void
+StatedAdmission::ClearTarget(TimePoint aNow)
+{
+  Advance(aNow);
+  m_life.Lose();
+  RefuseAll(Closed());
+}
+
+void
+StatedAdmission::SetLeaving(bool aLeaving, TimePoint aNow)
+{
+  Advance(aNow);
+  if (!aLeaving) {
+    m_life.Stay();
+  } else if (m_life.Leave()) {
+    RefuseAll(ResultCode::TargetLeaving);
+  }
+}
+
+void
+StatedAdmission::SetZoneOut(bool aOut, TimePoint aNow)
+{
+  Advance(aNow);
+  if (aOut != m_zoneOut && aOut) {
+    RefuseAll(ResultCode::ZoneOut);
+  }
+  m_zoneOut = aOut;
+}
+
+void
+StatedAdmission::SetCold(TimePoint aNow)
+{
+  Advance(aNow);
+  m_coldUntil = TimePoint::max();
+  m_life.TurnCold();
+}
+
+void
+StatedAdmission::SetColdFor(Duration aLeft, TimePoint aNow)
+{
+  Advance(aNow);
+  m_coldUntil = m_now + aLeft;
+  if (aLeft > Duration::zero()) {
+    m_life.TurnCold();
+  } else {
+    m_life.WarmUp();
+  }
+}
+
+ResultCode
+StatedAdmission::Closed() const
+{
+  if (m_life.State() == TargetState::Gone) {
+    return ResultCode::NotReady;
+  }
+  if (m_zoneOut) {
+    return ResultCode::ZoneOut;
+  }
+  return m_life.State() == TargetState::Leaving ? ResultCode::TargetLeaving
+                                                : ResultCode::Ok;
+}
+
+//-----------------------------------------------------------------------------
+// Estimates
+//-----------------------------------------------------------------------------
+
+Duration
+StatedAdmission::Expected(uint32_t aClass) const
+{
+  const auto found = m_typical.find(aClass);
+  const double usual = found == m_typical.end() ? m_mean : found->second;
+  const double excess = std::max(0.0, m_slowness / 100.0 - 1);
+  return FromSeconds(usual * (1 + kSlownessShare * excess));
+}
+
+// Time until a slot is free for the request, behind those that go before it.
+Duration
+StatedAdmission::WaitFor(const AdmissionRequest& aRequest) const
+{
+  double work = ToSeconds(Expected(aRequest.m_class));
+  for (const AdmissionRequest& other : m_queue) {
+    if (!GoesBefore(aRequest, other)) {
+      work += ToSeconds(Expected(other.m_class));
+    }
+  }
+  return FromSeconds(work / std::max(1U, m_slots));
+}
+
+bool
+StatedAdmission::MakesGoal(const AdmissionRequest& aRequest) const
+{
+  return aRequest.m_goal == TimePoint::max() ||
+         m_now + Expected(aRequest.m_class) <= aRequest.m_goal;
+}
+
+// Requests that can still be answered within their objective go first, then by
+// priority, then by the earlier objective or deadline.
+bool
+StatedAdmission::GoesBefore(const AdmissionRequest& aLeft,
+                            const AdmissionRequest& aRight) const
+{
+  const bool left = MakesGoal(aLeft);
+  const bool right = MakesGoal(aRight);
+  if (left != right) {
+    return left;
+  }
+  if (aLeft.m_priority != aRight.m_priority) {
+    return aLeft.m_priority > aRight.m_priority;
+  }
+  return std::min(aLeft.m_goal, aLeft.m_deadline) <
+         std::min(aRight.m_goal, aRight.m_deadline);
+}
+
+void
+StatedAdmission::Learn(uint32_t aClass, const Outcome& aOutcome)
+{
+  if (aOutcome.m_end != ServiceEnd::Completed &&
+      aOutcome.m_end != ServiceEnd::Error) {
+    return;
+  }
+  const double took = ToSeconds(aOutcome.m_serviceTime);
+  const auto learn = [took](double& aTypical) {
+    aTypical =
+      aTypical <= 0 ? took : aTypical + kTypicalGain * (took - aTypical);
+  };
+  learn(m_typical[aClass]);
+  learn(m_mean);
+}
+
+//-----------------------------------------------------------------------------
+// Offer
+//-----------------------------------------------------------------------------
+
+bool
+StatedAdmission::HasFreeSlot() const
+{
+  return m_inFlight < m_slots;
+}
+
+bool
+StatedAdmission::HasColdToken() const
+{
+  if (!IsCold()) {
+    return true;
+  }
+  if (m_coldRate <= 0) {
+    return m_inFlight < m_settings.m_coldLimit;
+  }
+  return static_cast<double>(m_starts.size()) + 1 <= m_coldRate;
+}
+
+bool
+StatedAdmission::IsKnown(const CallId& aCall) const
+{
+  const auto same = [&aCall](const auto& aOne) { return aOne.m_call == aCall; };
+  return m_running.contains(aCall) ||
+         std::any_of(m_queue.begin(), m_queue.end(), same) ||
+         std::any_of(m_pending.begin(), m_pending.end(), same);
+}
+
+AdmissionResult
+StatedAdmission::Offer(const AdmissionRequest& aRequest, TimePoint aNow)
+{
+  Advance(aNow);
+  const ResultCode closed = Closed();
+  if (closed != ResultCode::Ok) {
+    return { AdmissionVerdict::Refused, closed };
+  }
+  if (IsKnown(aRequest.m_call)) {
+    return { AdmissionVerdict::Refused, ResultCode::DuplicateInProgress };
+  }
+  if (aRequest.m_deadline < m_now + m_settings.m_minimumRemaining) {
+    return { AdmissionVerdict::Refused, ResultCode::ExpiredBeforeRun };
+  }
+  if (!HasColdToken()) {
+    return { AdmissionVerdict::Refused, ResultCode::TargetCold };
+  }
+  if (HasFreeSlot() && m_queue.empty()) {
+    Start(aRequest);
+    return { AdmissionVerdict::Admitted, ResultCode::Ok };
+  }
+  return Enqueue(aRequest);
+}
+
+AdmissionResult
+StatedAdmission::Enqueue(const AdmissionRequest& aRequest)
+{
+  const Duration wait = WaitFor(aRequest);
+  if (m_now + wait + Expected(aRequest.m_class) > aRequest.m_deadline) {
+    return { AdmissionVerdict::Refused, ResultCode::Overloaded };
+  }
+  const auto bound =
+    static_cast<size_t>(m_settings.m_queuePerSlot * std::max(1U, m_slots));
+  if (m_queue.size() >= bound) {
+    // The one that would go last gives way.
+    const auto last = std::max_element(
+      m_queue.begin(), m_queue.end(), [this](const auto& aL, const auto& aR) {
+        return GoesBefore(aL, aR);
+      });
+    if (last == m_queue.end() || !GoesBefore(aRequest, *last)) {
+      return { AdmissionVerdict::Refused, ResultCode::Overloaded };
+    }
+    Refuse(last->m_call, ResultCode::ShedByPriority);
+    m_queue.erase(last);
+  }
+  m_queue.push_back(aRequest);
+  return { AdmissionVerdict::Queued, ResultCode::Ok };
+}
+
+void
+StatedAdmission::Start(const AdmissionRequest& aRequest)
+{
+  m_life.Start();
+  m_running.emplace(aRequest.m_call, Running{ m_generation, aRequest.m_class });
+  m_starts.push_back(m_now);
+  ++m_inFlight;
+}
+
+//-----------------------------------------------------------------------------
+// Ends and time
+//-----------------------------------------------------------------------------
+
+std::vector<AdmissionEvent>
+StatedAdmission::Finish(const CallId& aCall,
+                        const Outcome& aOutcome,
+                        TimePoint aNow)
+{
+  Advance(aNow);
+  const auto found = m_running.find(aCall);
+  if (found != m_running.end()) {
+    if (found->second.m_generation == m_generation) {
+      --m_inFlight;
+      Learn(found->second.m_class, aOutcome);
+    }
+    m_running.erase(found);
+  }
+  return Pump(aNow);
+}
+
+bool
+StatedAdmission::Withdraw(const CallId& aCall, TimePoint aNow)
+{
+  Advance(aNow);
+  const auto same = [&aCall](const auto& aOne) { return aOne.m_call == aCall; };
+  const size_t pending = std::erase_if(m_pending, same);
+  const size_t queued = std::erase_if(m_queue, same);
+  return pending + queued > 0;
+}
+
+std::vector<AdmissionEvent>
+StatedAdmission::Tick(TimePoint aNow)
+{
+  return Pump(aNow);
+}
+
+TimePoint
+StatedAdmission::NextTick() const
+{
+  if (!m_pending.empty()) {
+    return m_now;
+  }
+  TimePoint next = TimePoint::max();
+  if (!m_queue.empty() && HasFreeSlot()) {
+    const bool waits = !HasColdToken() && !m_starts.empty();
+    next = waits ? m_starts.front() + kRateWindow : m_now;
+  }
+  for (const AdmissionRequest& request : m_queue) {
+    next = std::min(next, request.m_deadline);
+  }
+  return next;
+}
+
+LoadReport
+StatedAdmission::Report(TimePoint /*aNow*/) const
+{
+  LoadReport report;
+  const bool gone = m_life.State() == TargetState::Gone;
+  report.m_inFlight = m_inFlight;
+  report.m_queued = static_cast<uint32_t>(m_queue.size());
+  report.m_slots = gone ? 0 : m_slots;
+  report.m_limit = report.m_slots;
+  report.m_cold = IsCold();
+  report.m_leaving = m_life.State() == TargetState::Leaving;
+  report.m_latency = FromSeconds(m_mean);
+  report.m_slowness = m_slowness;
+  report.m_incarnation = m_life.Incarnation();
+  return report;
+}
+
+void
+StatedAdmission::RefuseAll(ResultCode aCode)
+{
+  for (const AdmissionRequest& request : m_queue) {
+    Refuse(request.m_call, aCode);
+  }
+  m_queue.clear();
+}
+
+std::vector<AdmissionEvent>
+StatedAdmission::Pump(TimePoint aNow)
+{
+  Advance(aNow);
+  std::erase_if(m_queue, [this](const AdmissionRequest& aRequest) {
+    const bool expired =
+      aRequest.m_deadline < m_now + m_settings.m_minimumRemaining;
+    if (expired) {
+      Refuse(aRequest.m_call, ResultCode::ExpiredBeforeRun);
+    }
+    return expired;
+  });
+  while (!m_queue.empty() && HasFreeSlot() && HasColdToken()) {
+    const auto first = std::min_element(
+      m_queue.begin(), m_queue.end(), [this](const auto& aL, const auto& aR) {
+        return GoesBefore(aL, aR);
+      });
+    Start(*first);
+    m_pending.push_back({ first->m_call, true, ResultCode::Ok });
+    m_queue.erase(first);
+  }
+  return std::exchange(m_pending, {});
+}
+
+} // namespace
+
+std::unique_ptr<Admission>
+MakeStatedAdmission(AdmissionSettings aSettings)
+{
+  return std::make_unique<StatedAdmission>(aSettings);
+}
+
+} // namespace sassafrasquay
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -8,18 +8,10 @@
 #include <gflags/gflags.h>
 #include <iostream>
 
-DECLARE_string(log);
-DECLARE_string(log_stream);
+DECLARE_string(node_file);
 DECLARE_string(zone);
-DEFINE_string(author, "", "name recorded with a publish; default $USER");
-DEFINE_uint64(base, 0, "version that a publish was based on; 0: none yet");
-DEFINE_string(publish_id,
-              "",
-              "id of a publish that is repeated because its reply was lost");
-DEFINE_string(reason, "", "written reason for taking a zone out");
 DEFINE_string(effective, "", "service whose effective settings are shown");
-DEFINE_string(target, "", "target whose exceptions count in --effective");
-DEFINE_uint32(log_timeout_ms, 2000, "ms for one exchange with the log");
+DEFINE_string(instance, "", "target whose exceptions count in --effective");
 DEFINE_uint32(deadline_ms, 20000, "ms for the whole command");
 DEFINE_string(control, "127.0.0.1:8082", "IP:port of a node's control address");
 
@@ -48,7 +40,8 @@
 IsOwnFlag(const gflags::CommandLineFlagInfo& aFlag)
 {
   return aFlag.filename.find("src/node/") != std::string::npos ||
-         aFlag.filename.find("src/app/") != std::string::npos;
+         aFlag.filename.find("src/app/") != std::string::npos ||
+         aFlag.filename.find("platform/") != std::string::npos;
 }
 
 // Takes settings from SASSAFRASQUAY_<FLAG>; flags given later win.
@@ -84,28 +77,6 @@
 // Verbs
 //-----------------------------------------------------------------------------
 
-std::string
-Author()
-{
-  if (!FLAGS_author.empty()) {
-    return FLAGS_author;
-  }
-  const char* user = std::getenv("USER");
-  return user != nullptr ? user : "unknown";
-}
-
-bool
-ReadLogAccess(LogAccess& aAccess, Arguments& aFaults)
-{
-  if (!ParseEndpoint(FLAGS_log, aAccess.m_log)) {
-    aFaults.emplace_back("--log must be the IP:port of the log");
-  }
-  aAccess.m_stream = FLAGS_log_stream;
-  aAccess.m_timeout = std::chrono::milliseconds(FLAGS_log_timeout_ms);
-  aAccess.m_deadline = std::chrono::milliseconds(FLAGS_deadline_ms);
-  return aFaults.empty();
-}
-
 int
 RunNodeVerb(const Arguments&)
 {
@@ -117,65 +88,18 @@
 int
 RunCheckVerb(const Arguments& aArguments)
 {
-  CheckSettings settings;
-  settings.m_file = aArguments.at(0);
-  return RunConfigCheck(settings, std::cout, std::cerr);
+  return RunConfigCheck(aArguments.at(0), std::cout, std::cerr);
 }
 
 int
-RunPublishVerb(const Arguments& aArguments)
+RunShowVerb(const Arguments& aArguments)
 {
-  Arguments faults;
-  PublishSettings settings;
-  settings.m_file = aArguments.at(0);
-  settings.m_base = FLAGS_base;
-  settings.m_author = Author();
-  settings.m_publishId = FLAGS_publish_id;
-  return ReadLogAccess(settings, faults)
-           ? RunConfigPublish(settings, std::cout, std::cerr)
-           : ReportFaults(faults);
-}
-
-int
-RunShowVerb(const Arguments&)
-{
-  Arguments faults;
   ShowSettings settings;
-  settings.m_effective = !FLAGS_effective.empty();
+  settings.m_file = aArguments.at(0);
   settings.m_service = FLAGS_effective;
   settings.m_zone = FLAGS_zone;
-  settings.m_target = FLAGS_target;
-  return ReadLogAccess(settings, faults)
-           ? RunConfigShow(settings, std::cout, std::cerr)
-           : ReportFaults(faults);
-}
-
-int
-RunZoneOutVerb(const Arguments& aArguments)
-{
-  Arguments faults;
-  ZoneSettings settings;
-  settings.m_zone = aArguments.at(0);
-  settings.m_reason = FLAGS_reason;
-  settings.m_author = Author();
-  if (FLAGS_reason.empty()) {
-    faults.emplace_back("zone out needs --reason");
-  }
-  return ReadLogAccess(settings, faults)
-           ? RunZoneOut(settings, std::cout, std::cerr)
-           : ReportFaults(faults);
-}
-
-int
-RunZoneInVerb(const Arguments& aArguments)
-{
-  Arguments faults;
-  ZoneSettings settings;
-  settings.m_zone = aArguments.at(0);
-  settings.m_author = Author();
-  return ReadLogAccess(settings, faults)
-           ? RunZoneIn(settings, std::cout, std::cerr)
-           : ReportFaults(faults);
+  settings.m_target = FLAGS_instance;
+  return RunConfigShow(settings, std::cout, std::cerr);
 }
 
 int
@@ -196,18 +120,6 @@
   return 0;
 }
 
-const std::vector<std::string_view> kLogFlags = { "log",
-                                                  "log_stream",
-                                                  "log_timeout_ms",
-                                                  "deadline_ms" };
-
-std::vector<std::string_view>
-WithLogFlags(std::vector<std::string_view> aFlags)
-{
-  aFlags.insert(aFlags.end(), kLogFlags.begin(), kLogFlags.end());
-  return aFlags;
-}
-
 const std::vector<Verb>&
 Verbs()
 {
@@ -218,26 +130,11 @@
       "name every fault of a declaration",
       { "version" },
       RunCheckVerb },
-    { "config publish",
-      "FILE",
-      "make a declaration the next version",
-      WithLogFlags({ "base", "author", "publish_id" }),
-      RunPublishVerb },
     { "config show",
-      "",
-      "show the declaration in force, or a service's settings",
-      WithLogFlags({ "effective", "zone", "target" }),
+      "FILE",
+      "show a service's settings and where each comes from",
+      { "effective", "zone", "instance" },
       RunShowVerb },
-    { "zone out",
-      "ZONE",
-      "take an availability zone out of service",
-      WithLogFlags({ "reason", "author" }),
-      RunZoneOutVerb },
-    { "zone in",
-      "ZONE",
-      "bring an availability zone back",
-      WithLogFlags({ "author" }),
-      RunZoneInVerb },
     { "status",
       "",
       "show what a node knows: its target, load and members",
@@ -271,7 +168,8 @@
 Belongs(const Verb& aVerb, const gflags::CommandLineFlagInfo& aFlag)
 {
   if (aVerb.m_flags.empty()) {
-    return aFlag.filename.find("src/node/") != std::string::npos;
+    return IsOwnFlag(aFlag) &&
+           aFlag.filename.find("src/app/") == std::string::npos;
   }
   return IsOwnFlag(aFlag) &&
          std::find(aVerb.m_flags.begin(), aVerb.m_flags.end(), aFlag.name) !=
@@ -337,6 +235,11 @@
   }
   int count = static_cast<int>(pointers.size());
   char** array = pointers.data();
+  gflags::ParseCommandLineFlags(&count, &array, false);
+  if (!FLAGS_node_file.empty()) {
+    ReadNodeFile(FLAGS_node_file, faults);
+  }
+  // The command line goes before the file.
   gflags::ParseCommandLineFlags(&count, &array, true);
   const Arguments positional(array + 1, array + count);
   const size_t expected = aVerb.m_arguments.empty() ? 0 : 1;
--- a/src/call/call.h
+++ b/src/call/call.h
@@ -35,20 +35,22 @@
 struct RequestHead
 {
   CallId m_call;
+  std::string m_requestId; // the caller's own name for the request, for logs
+  std::string m_host;      // as the caller sent it; only at the entry node
   std::string m_service;
   std::string m_method;
   std::string m_path;                 // request target, with the query
   std::vector<HeaderField> m_headers; // without hop-by-hop headers
-  std::string m_key;                  // Idempotency-Key, may be empty
-  uint64_t m_digest = 0;              // of the content, to detect a reused key
-  uint64_t m_identity = 0;            // of key or content, for quarantine
+  uint64_t m_identity = 0;            // of the content, for quarantine
   Duration m_remaining{};             // caller's remaining time when sent
+  Duration m_goal{};                  // rest of the latency objective; 0: none
+  uint32_t m_routeClass = 0;          // requests of one class take similar work
+  uint32_t m_maxAttempts = 0;         // targets that may run it; 0: no bound
   uint8_t m_priority = 100;
   bool m_idempotent = false;
   bool m_retrySpent = false;            // an earlier layer used its retry
   uint64_t m_nodeIncarnation = 0;       // of the target's node it is meant for
   Duration m_age{};                     // since the attempt began, upper bound
-  NodeRef m_keyOwner;                   // that granted the claim of m_key
   std::optional<uint64_t> m_bodyLength; // absent: chunked
   std::optional<std::string> m_body;    // whole body, when small
 
@@ -112,6 +114,7 @@
   LoadReport m_load;
   Duration m_latency{};     // to the start of the answer
   bool m_linkFault = false; // a silent or stale link, not the target's doing
+  Duration m_retryAfter{};  // after a refusal: when a further try makes sense
 };
 
 // Carries one attempt to its end: the gateway beside the target, or a peer.
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -27,18 +27,23 @@
 constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
 
 using Request = http::request<http::string_body>;
+using Reply = PageReply;
 
-struct Reply
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kMethodNotAllowed = 405;
+constexpr unsigned kUnavailable = 503;
+
+Reply
+Done()
 {
-  http::status m_status = http::status::ok;
-  std::string m_body = "ok\n";
-  std::string m_type = "text/plain";
-};
+  return { 200, "ok\n" };
+}
 
 Reply
 BadRequest(std::string aReason)
 {
-  return { http::status::bad_request, std::move(aReason) + "\n" };
+  return { kBadRequest, std::move(aReason) + "\n" };
 }
 
 // Reads an unsigned number; false when missing or out of range.
@@ -78,7 +83,7 @@
   asio::awaitable<void> Stop() override;
 
 private:
-  asio::awaitable<void> AcceptConnections();
+  asio::awaitable<void> AcceptConnections(tcp::acceptor& aAcceptor);
   asio::awaitable<void> Serve(tcp::socket aSocket);
   Reply Answer(const Request& aRequest);
   Reply AnswerGet(std::string_view aPath);
@@ -92,7 +97,8 @@
   std::shared_ptr<Metrics> m_metrics;
   std::shared_ptr<TargetControl> m_target;
   std::shared_ptr<NodeState> m_state;
-  std::unique_ptr<tcp::acceptor> m_acceptor;
+  std::shared_ptr<ExtraPages> m_extra; // may be empty
+  std::vector<std::unique_ptr<tcp::acceptor>> m_acceptors;
   std::unique_ptr<Event> m_changed;
   bool m_stopping = false;
 };
@@ -106,11 +112,16 @@
   m_target = aKernel.Find<TargetControl>("gateway");
   m_state = aKernel.Find<NodeState>("node_state");
   m_changed = std::make_unique<Event>(m_executor);
-  const Endpoint& listen = m_settings.m_listen;
-  m_acceptor = std::make_unique<tcp::acceptor>(
-    m_executor,
-    tcp::endpoint(asio::ip::make_address(listen.m_address), listen.m_port));
-  asio::co_spawn(m_executor, AcceptConnections(), asio::detached);
+  if (m_settings.m_extraPages) {
+    m_extra = aKernel.Find<ExtraPages>("extra_pages");
+  }
+  for (const Endpoint& listen : m_settings.m_listen) {
+    m_acceptors.push_back(std::make_unique<tcp::acceptor>(
+      m_executor,
+      tcp::endpoint(asio::ip::make_address(listen.m_address), listen.m_port)));
+    asio::co_spawn(
+      m_executor, AcceptConnections(*m_acceptors.back()), asio::detached);
+  }
   co_return;
 }
 
@@ -119,17 +130,19 @@
 {
   m_stopping = true;
   boost::system::error_code ignored;
-  m_acceptor->close(ignored);
+  for (const auto& acceptor : m_acceptors) {
+    acceptor->close(ignored);
+  }
   m_changed->Notify();
   co_return;
 }
 
 asio::awaitable<void>
-Control::AcceptConnections()
+Control::AcceptConnections(tcp::acceptor& aAcceptor)
 {
   while (!m_stopping) {
     boost::system::error_code error;
-    tcp::socket socket = co_await m_acceptor->async_accept(
+    tcp::socket socket = co_await aAcceptor.async_accept(
       asio::redirect_error(asio::use_awaitable, error));
     if (!error) {
       asio::co_spawn(m_executor, Serve(std::move(socket)), asio::detached);
@@ -156,7 +169,9 @@
       break;
     }
     Reply reply = Answer(parser.get());
-    http::response<http::string_body> response(reply.m_status, 11);
+    http::response<http::string_body> response;
+    response.version(11);
+    response.result(reply.m_status);
     response.set(http::field::content_type, reply.m_type);
     response.keep_alive(parser.keep_alive());
     response.body() = std::move(reply.m_body);
@@ -171,11 +186,18 @@
 Control::Answer(const Request& aRequest)
 {
   const std::string_view path = aRequest.target();
+  if (m_extra) {
+    auto extra =
+      m_extra->Answer(aRequest.method_string(), path, aRequest.body());
+    if (extra) {
+      return std::move(*extra);
+    }
+  }
   if (aRequest.method() == http::verb::get) {
     return AnswerGet(path);
   }
   if (aRequest.method() != http::verb::post) {
-    return { http::status::method_not_allowed, "use GET or POST\n" };
+    return { kMethodNotAllowed, "use GET or POST\n" };
   }
   boost::system::error_code error;
   json::value body = json::object();
@@ -192,23 +214,23 @@
 Control::AnswerGet(std::string_view aPath)
 {
   if (aPath == "/healthz") {
-    return {};
+    return Done();
   }
   if (aPath == "/readyz") {
     const std::string reason = m_state->NotReadyReason();
     if (reason.empty()) {
-      return {};
+      return Done();
     }
-    return { http::status::service_unavailable, reason + "\n" };
+    return { kUnavailable, reason + "\n" };
   }
   if (aPath == "/metrics") {
     m_state->UpdateMetrics();
-    return { http::status::ok, m_metrics->Text(), "text/plain; version=0.0.4" };
+    return { 200, m_metrics->Text(), "text/plain; version=0.0.4" };
   }
   if (aPath == "/status") {
-    return { http::status::ok, m_state->StatusJson(), "application/json" };
+    return { 200, m_state->StatusJson(), "application/json" };
   }
-  return { http::status::not_found, "no such page\n" };
+  return { kNotFound, "no such page\n" };
 }
 
 Reply
@@ -222,11 +244,11 @@
   }
   if (aPath == "/v1/target/drain") {
     m_target->Drain();
-    return {};
+    return Done();
   }
   if (aPath == "/v1/target/cold") {
     m_target->TurnCold();
-    return {};
+    return Done();
   }
   if (aPath == "/v1/target/load") {
     uint64_t inUse = 0;
@@ -237,9 +259,9 @@
     }
     m_target->ReportLoad(static_cast<uint32_t>(inUse),
                          static_cast<uint32_t>(queued));
-    return {};
+    return Done();
   }
-  return { http::status::not_found, "no such action\n" };
+  return { kNotFound, "no such action\n" };
 }
 
 Reply
@@ -261,7 +283,7 @@
   if (m_target->Announce(target)) {
     return BadRequest("service must be set and slots from 1 to 4096");
   }
-  return {};
+  return Done();
 }
 
 Reply
@@ -283,7 +305,7 @@
     }
     m_logger->SetDecisionSample(share);
   }
-  return {};
+  return Done();
 }
 
 } // namespace
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -13,11 +13,31 @@
 
 #include "kernel/kernel.h"
 
+#include <optional>
+
 namespace sassafrasquay {
 
+// Pages that another service adds to the control addresses.
+struct PageReply
+{
+  unsigned m_status = 200;
+  std::string m_body;
+  std::string m_type = "text/plain";
+};
+
+class ExtraPages : public virtual Component
+{
+public:
+  // nullopt when the page is not one of these.
+  virtual std::optional<PageReply> Answer(std::string_view aMethod,
+                                          std::string_view aPath,
+                                          std::string_view aBody) = 0;
+};
+
 struct ControlSettings
 {
-  Endpoint m_listen;
+  std::vector<Endpoint> m_listen; // every page is on each of them
+  bool m_extraPages = false;      // "extra_pages" in the kernel (ExtraPages)
   Duration m_timeout{ std::chrono::seconds(10) }; // of one request
   uint32_t m_maxBodyBytes = 64 * 1024;
 };
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -156,6 +156,7 @@
   UnknownService = 104,
   SenderTooSlow = 105,
   InvalidHeader = 106,
+  NoRoute = 107,
   // 2xx: refused before dispatch
   NoTarget = 201,
   Overloaded = 202,
@@ -174,18 +175,16 @@
   TargetShed = 305,
   TargetUnreachable = 306,
   CallerGone = 307,
+  AnswerInvalid = 308,
+  WrongTarget = 309,
   // 4xx: at most once
   DuplicateInProgress = 401,
-  DuplicateAnswerGone = 402,
-  KeyHistoryUnknown = 403,
   CrashSuspect = 404,
-  KeyReused = 405,
-  KeyOwnerUnreachable = 406,
   // 5xx: configuration and log
   ConfigInvalid = 501,
-  ConfigConflict = 502,
   LogUnavailable = 503,
   SchemaTooNew = 504,
+  LogHistoryGone = 505,
   // 6xx: between nodes
   ProtocolMismatch = 601,
   MalformedFrame = 602,
@@ -233,6 +232,7 @@
   bool m_cold = false;        // in cold start: share must stay small
   bool m_leaving = false;     // draining: no new work
   Duration m_latency{};       // typical service time
+  uint32_t m_slowness = 100;  // time that work takes now, in % of the usual
   uint64_t m_incarnation = 0; // of the target; a new one voids older reports
 
   bool operator==(const LoadReport&) const = default;
--- /dev/null
+++ b/src/dialect/dialect.cpp
@@ -0,0 +1,137 @@
+// The project's own dialect of HTTP.
+#include "dialect/dialect.h"
+
+#include "httpbase/httpbase.h"
+
+#include <algorithm>
+#include <boost/beast/core/string.hpp>
+
+namespace sassafrasquay {
+
+namespace {
+
+using boost::beast::iequals;
+
+// Answers that ask the caller to come back say when, in whole seconds.
+constexpr std::string_view kRetryAfterSeconds = "1";
+
+class PlainCallerDialect : public CallerDialect
+{
+public:
+  std::optional<ResultCode> ReadRequest(
+    RequestHead& aHead,
+    std::optional<Duration>& aAsked) const override
+  {
+    if (const auto value = FindField(aHead.m_headers, kTimeoutHeader)) {
+      Duration asked{};
+      if (!ParseMilliseconds(*value, asked)) {
+        return ResultCode::InvalidHeader;
+      }
+      aAsked = asked;
+    }
+    if (const auto value = FindField(aHead.m_headers, kRequestIdHeader)) {
+      aHead.m_requestId = std::string(*value);
+    }
+    aHead.m_retrySpent = FindField(aHead.m_headers, kRetryHeader).has_value();
+    for (const std::string_view name :
+         { kTimeoutHeader, kRetryHeader, kRequestIdHeader }) {
+      RemoveField(aHead.m_headers, name);
+    }
+    return std::nullopt;
+  }
+
+  OwnAnswer Describe(const RequestHead& /*aHead*/,
+                     const CallResult& aResult) const override
+  {
+    const ResultRow& row = RowOf(aResult.m_code);
+    OwnAnswer answer;
+    answer.m_status = row.m_httpStatus;
+    answer.m_headers = {
+      { std::string(kResultHeader),
+        std::to_string(static_cast<int>(row.m_code)) },
+      { std::string(kRunHeader), std::string(ToString(aResult.m_run)) },
+    };
+    if (row.m_httpStatus == 503) {
+      answer.m_headers.push_back(
+        { "Retry-After", std::string(kRetryAfterSeconds) });
+    }
+    answer.m_body =
+      std::string(row.m_name) + ": " + std::string(row.m_meaning) + "\n";
+    return answer;
+  }
+};
+
+class PlainTargetDialect : public TargetDialect
+{
+public:
+  void AddFields(const RequestHead& aHead,
+                 const std::string& /*aTargetId*/,
+                 Duration aRemaining,
+                 std::vector<HeaderField>& aFields) const override
+  {
+    aFields.push_back(
+      { std::string(kRequestIdHeader), ToString(aHead.m_call) });
+    aFields.push_back(
+      { std::string(kTimeoutHeader), FormatMilliseconds(aRemaining) });
+    if (aHead.m_retrySpent) {
+      aFields.push_back({ std::string(kRetryHeader), "spent" });
+    }
+  }
+
+  AnswerFacts ReadAnswer(const RequestHead& /*aHead*/,
+                         const AnswerHead& aAnswer) const override
+  {
+    AnswerFacts facts;
+    const bool shed =
+      aAnswer.m_status == 503 && FindField(aAnswer.m_headers, kShedHeader);
+    facts.m_kind = shed ? AnswerKind::NotRun : AnswerKind::Own;
+    return facts;
+  }
+
+  HealthFacts ReadHealth(const AnswerHead& aAnswer) const override
+  {
+    HealthFacts facts;
+    facts.m_healthy = aAnswer.m_status == 200;
+    return facts;
+  }
+
+  std::string CancelPath(const CallId& aCall) const override
+  {
+    return "/sassafrasquay/cancel/" + ToString(aCall);
+  }
+};
+
+} // namespace
+
+std::optional<std::string_view>
+FindField(const std::vector<HeaderField>& aFields, std::string_view aName)
+{
+  for (const HeaderField& field : aFields) {
+    if (iequals(field.m_name, aName)) {
+      return field.m_value;
+    }
+  }
+  return std::nullopt;
+}
+
+void
+RemoveField(std::vector<HeaderField>& aFields, std::string_view aName)
+{
+  std::erase_if(aFields, [aName](const HeaderField& aField) {
+    return iequals(aField.m_name, aName);
+  });
+}
+
+std::shared_ptr<CallerDialect>
+MakeCallerDialect()
+{
+  return std::make_shared<PlainCallerDialect>();
+}
+
+std::shared_ptr<TargetDialect>
+MakeTargetDialect()
+{
+  return std::make_shared<PlainTargetDialect>();
+}
+
+} // namespace sassafrasquay
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -14,9 +14,6 @@
 
 namespace {
 
-// Calls of one key that are resolved for one attempt, at most.
-constexpr size_t kMaxHolders = 3;
-
 // What the attempts of one request have in common.
 struct Progress
 {
@@ -25,11 +22,70 @@
   uint32_t m_attempts = 0;
   uint32_t m_dispatched = 0;                // attempts that may have run
   uint32_t m_refused = 0;                   // attempts proven not to have run
-  std::vector<CallId> m_proven;             // their call ids
   RetryMarker m_marker = RetryMarker::None; // from the previous layer
   CallResult m_last;
 };
 
+// Holds back a failure that the target answered with, because another target
+// may do better. Passes every other answer on.
+class HeldAnswer : public AnswerSink
+{
+public:
+  HeldAnswer(AnswerSink& aSink, bool aHoldsFailures)
+    : m_sink(aSink)
+    , m_holdsFailures(aHoldsFailures)
+  {
+  }
+
+  asio::awaitable<void> Admitted() override { return m_sink.Admitted(); }
+  asio::awaitable<std::error_code> Head(AnswerHead aHead) override
+  {
+    if (m_holdsFailures && aHead.m_status >= kFirstFailure) {
+      m_head = std::move(aHead);
+      m_body.clear();
+      m_complete = false;
+      co_return std::error_code();
+    }
+    m_passed = true;
+    co_return co_await m_sink.Head(std::move(aHead));
+  }
+  asio::awaitable<std::error_code> Body(std::string_view aBytes,
+                                        bool aLast) override
+  {
+    if (m_passed) {
+      co_return co_await m_sink.Body(aBytes, aLast);
+    }
+    m_body += aBytes;
+    m_complete = aLast;
+    if (m_body.size() > kInlineBodyLimit) {
+      co_return co_await Release();
+    }
+    co_return std::error_code();
+  }
+
+  // Whether a whole failure is held, and nothing was passed on.
+  bool IsHeld() const { return !m_passed && m_complete; }
+  asio::awaitable<std::error_code> Release()
+  {
+    m_passed = true;
+    std::error_code error = co_await m_sink.Head(std::move(*m_head));
+    if (!error) {
+      error = co_await m_sink.Body(m_body, m_complete);
+    }
+    co_return error;
+  }
+
+private:
+  static constexpr uint16_t kFirstFailure = 500;
+
+  AnswerSink& m_sink;
+  bool m_holdsFailures;
+  std::optional<AnswerHead> m_head;
+  std::string m_body;
+  bool m_complete = false;
+  bool m_passed = false;
+};
+
 class Dispatcher
   : public Service
   , public CallHandler
@@ -57,16 +113,11 @@
   asio::awaitable<bool> TryOnce(RequestHead& aHead,
                                 Progress& aProgress,
                                 BodySource& aBody,
-                                AnswerSink& aAnswer);
+                                HeldAnswer& aAnswer);
   asio::awaitable<CallResult> Attempt(RequestHead& aHead,
                                       TargetIndex aTarget,
-                                      const Progress& aProgress,
                                       BodySource& aBody,
                                       AnswerSink& aAnswer);
-  asio::awaitable<std::optional<CallResult>> ClaimKey(
-    RequestHead& aHead,
-    const TargetInfo& aTarget,
-    const Progress& aProgress);
   bool IsQuarantined(const RequestHead& aHead, Progress& aProgress);
   void Count(const RequestHead& aHead,
              TargetIndex aTarget,
@@ -86,7 +137,6 @@
   std::shared_ptr<Router> m_router;
   std::shared_ptr<RetryPolicy> m_retry;
   std::shared_ptr<Quarantine> m_quarantine;
-  std::shared_ptr<KeyClaimSource> m_claims;
   std::shared_ptr<PeerClient> m_peers;
   std::shared_ptr<CallHandler> m_gateway;
   MetricCounter* m_attempts = nullptr;
@@ -102,7 +152,6 @@
   m_router = aKernel.Find<Router>("router");
   m_retry = aKernel.Find<RetryPolicy>("retry");
   m_quarantine = aKernel.Find<Quarantine>("quarantine");
-  m_claims = aKernel.Find<KeyClaimSource>("claim_source");
   m_peers = aKernel.Find<PeerClient>("peer_client");
   m_gateway = aKernel.Find<CallHandler>("gateway");
   const auto metrics = aKernel.Find<Metrics>("metrics");
@@ -124,13 +173,18 @@
   progress.m_route.m_service = head.m_service;
   progress.m_marker =
     head.m_retrySpent ? RetryMarker::Spent : RetryMarker::None;
-  progress.m_last.m_code = m_router->Knows(head.m_service)
-                             ? ResultCode::NoTarget
-                             : ResultCode::UnknownService;
+  progress.m_last.m_code = ResultCode::NoTarget;
   m_retry->OnRequest(head.m_service, progress.m_marker);
+  HeldAnswer answer(aAnswer, head.m_idempotent);
   bool again = true;
   while (again) {
-    again = co_await TryOnce(head, progress, aBody, aAnswer);
+    again = co_await TryOnce(head, progress, aBody, answer);
+  }
+  if (answer.IsHeld()) {
+    // The target's own failure says more than what became of the retries.
+    const std::error_code error = co_await answer.Release();
+    progress.m_last.m_code = error ? ResultCode::CallerGone : ResultCode::Ok;
+    progress.m_last.m_run = Run::Yes;
   }
   co_return progress.m_last;
 }
@@ -155,7 +209,7 @@
 Dispatcher::TryOnce(RequestHead& aHead,
                     Progress& aProgress,
                     BodySource& aBody,
-                    AnswerSink& aAnswer)
+                    HeldAnswer& aAnswer)
 {
   const TimePoint now = m_clock->Now();
   aHead.m_remaining = aProgress.m_deadline - now;
@@ -176,8 +230,11 @@
   if (decision.m_target == kNoTarget) {
     co_return false;
   }
-  aProgress.m_last =
-    co_await Attempt(aHead, decision.m_target, aProgress, aBody, aAnswer);
+  aProgress.m_last = co_await Attempt(aHead, decision.m_target, aBody, aAnswer);
+  if (aProgress.m_last.m_code == ResultCode::Ok && aAnswer.IsHeld()) {
+    aProgress.m_last.m_code = ResultCode::TargetFailed;
+    aProgress.m_last.m_answerStarted = false;
+  }
   Count(aHead, decision.m_target, aProgress);
   const RetryDecision retry = DecideRetry(aHead, aProgress);
   if (retry.m_action == RetryAction::Stop) {
@@ -201,7 +258,6 @@
   m_retry->OnResult(aHead.m_service, last.m_code);
   if (last.m_run == Run::No) {
     ++aProgress.m_refused;
-    aProgress.m_proven.push_back(aHead.m_call);
   } else {
     ++aProgress.m_dispatched;
   }
@@ -238,65 +294,10 @@
   attempt.m_expected =
     last.m_hasLoad ? last.m_load.m_latency : Duration::zero();
   attempt.m_marker = aProgress.m_marker;
+  attempt.m_maxDispatched = aHead.m_maxAttempts;
   return m_retry->Decide(attempt);
 }
 
-// The refusal is about the earlier request that holds the key.
-CallResult
-RefusalOf(const ClaimResult& aClaim, CallState aHolder)
-{
-  CallResult refused;
-  refused.m_run = Run::Maybe;
-  if (aClaim.m_verdict == ClaimVerdict::Refused) {
-    refused.m_code = aClaim.m_code;
-    const bool unknown = aClaim.m_code == ResultCode::KeyHistoryUnknown;
-    refused.m_run = unknown ? Run::Maybe : Run::No;
-  } else if (aHolder == CallState::Answered) {
-    refused.m_code = ResultCode::DuplicateAnswerGone;
-    refused.m_run = Run::Yes;
-  } else if (aHolder == CallState::Queued || aHolder == CallState::Running ||
-             ProvesNotRun(aHolder)) {
-    refused.m_code = ResultCode::DuplicateInProgress;
-  } else {
-    refused.m_code = ResultCode::KeyHistoryUnknown;
-  }
-  return refused;
-}
-
-// Empty when the call may be sent.
-asio::awaitable<std::optional<CallResult>>
-Dispatcher::ClaimKey(RequestHead& aHead,
-                     const TargetInfo& aTarget,
-                     const Progress& aProgress)
-{
-  if (aHead.m_key.empty() || aHead.m_idempotent) {
-    co_return std::nullopt;
-  }
-  const NodeRef target{ aTarget.m_node, 0 };
-  std::vector<CallId> proven = aProgress.m_proven;
-  ClaimResult claim;
-  CallState holder = CallState::Unseen;
-  // A holder that is proven not to have run frees the key for a new claim.
-  for (size_t i = 0; i < kMaxHolders && ProvesNotRun(holder); ++i) {
-    std::vector<CallId> known = proven;
-    claim = co_await m_claims->Claim(aHead, target, std::move(known));
-    if (claim.m_verdict == ClaimVerdict::Granted) {
-      co_return std::nullopt;
-    }
-    if (claim.m_verdict == ClaimVerdict::Refused) {
-      break;
-    }
-    holder = CallState::Answered;
-    if (!claim.m_record.m_answered) {
-      const ResolveReply reply =
-        co_await m_claims->ResolveHolder(aHead, claim.m_record);
-      holder = reply.m_state;
-    }
-    proven.push_back(claim.m_record.m_call);
-  }
-  co_return RefusalOf(claim, holder);
-}
-
 AttemptEnd
 EndOf(const CallResult& aResult)
 {
@@ -316,7 +317,6 @@
 asio::awaitable<CallResult>
 Dispatcher::Attempt(RequestHead& aHead,
                     TargetIndex aTarget,
-                    const Progress& aProgress,
                     BodySource& aBody,
                     AnswerSink& aAnswer)
 {
@@ -337,10 +337,6 @@
   };
   Guard guard{ *this, aTarget, {} };
   guard.m_feedback.m_end = AttemptEnd::Refused;
-  const auto refused = co_await ClaimKey(aHead, target, aProgress);
-  if (refused) {
-    co_return *refused;
-  }
   CallResult result;
   if (target.m_node == m_settings.m_node) {
     aHead.m_nodeIncarnation = m_settings.m_nodeIncarnation;
@@ -369,7 +365,8 @@
   const TargetInfo* target = m_router->Target(aDecision.m_target);
   m_logger->Write(LogLevel::Info,
                   "route",
-                  { { "call", ToString(aHead.m_call) },
+                  { { "id", aHead.m_requestId },
+                    { "call", ToString(aHead.m_call) },
                     { "service", aHead.m_service },
                     { "candidates", aDecision.m_candidates },
                     { "chosen", target ? target->m_node.m_value : "" },
--- a/src/frontend/caller_connection.cpp
+++ b/src/frontend/caller_connection.cpp
@@ -22,8 +22,10 @@
 namespace {
 
 constexpr size_t kPartBytes = 32 * 1024;
-constexpr size_t kMaxKeyBytes = 256;
 constexpr size_t kMaxServiceBytes = 256;
+// Bounds of reading on after a final answer.
+constexpr Duration kLingerTime = std::chrono::seconds(1);
+constexpr size_t kLingerBytes = 4 * 1024 * 1024;
 
 using Parser = http::request_parser<http::buffer_body>;
 
@@ -244,20 +246,24 @@
 private:
   asio::awaitable<bool> ServeRequest();
   asio::awaitable<bool> ReadHead(Parser& aParser);
+  asio::awaitable<void> Linger();
+  Duration IdleTimeout() const;
+  Duration HeadTimeout() const;
   std::optional<ResultCode> FillHead(const Parser& aParser, RequestHead& aHead);
   asio::awaitable<CallResult> Call(RequestHead& aHead,
                                    CallerBody& aBody,
                                    CallerAnswer& aAnswer);
-  asio::awaitable<void> WatchCaller(const RequestHead& aHead,
-                                    CallerBody& aBody);
-  asio::awaitable<void> AnswerFailure(const CallResult& aResult,
+  asio::awaitable<void> WatchCaller(CallerBody& aBody);
+  asio::awaitable<void> AnswerFailure(const RequestHead& aHead,
+                                      const CallResult& aResult,
                                       bool aKeepAlive,
                                       bool aHeadOnly);
 
   beast::tcp_stream m_stream;
   beast::flat_buffer m_buffer;
   FrontendShared& m_shared;
-  bool m_idle = true; // between requests
+  bool m_idle = true;     // between requests
+  bool m_lingers = false; // the caller may still be sending
 };
 
 asio::awaitable<void>
@@ -269,9 +275,26 @@
   }
   boost::system::error_code ignored;
   m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  if (m_lingers) {
+    co_await Linger();
+  }
   m_stream.close();
 }
 
+// Closing a socket with unread bytes resets the connection, and the caller may
+// lose the answer that was just sent. Reads what is still on its way.
+asio::awaitable<void>
+HttpCallerConnection::Linger()
+{
+  std::array<char, kPartBytes> bytes;
+  boost::system::error_code error;
+  m_stream.expires_after(kLingerTime);
+  for (size_t total = 0; !error && total < kLingerBytes;) {
+    total +=
+      co_await m_stream.async_read_some(asio::buffer(bytes), Redirect(error));
+  }
+}
+
 // False when the connection must end.
 asio::awaitable<bool>
 HttpCallerConnection::ReadHead(Parser& aParser)
@@ -280,7 +303,7 @@
   m_idle = true;
   if (m_buffer.size() == 0) {
     // Waits for the first byte with the longer idle timeout.
-    m_stream.expires_after(m_shared.m_settings.m_idleTimeout);
+    m_stream.expires_after(IdleTimeout());
     const size_t count = co_await m_stream.async_read_some(
       m_buffer.prepare(4096), Redirect(error));
     m_buffer.commit(count);
@@ -289,7 +312,7 @@
     }
   }
   m_idle = false;
-  m_stream.expires_after(m_shared.m_settings.m_headTimeout);
+  m_stream.expires_after(HeadTimeout());
   co_await http::async_read_header(
     m_stream, m_buffer, aParser, Redirect(error));
   m_stream.expires_never();
@@ -311,7 +334,8 @@
     co_return false; // closed by the caller
   }
   // A timeout closes the socket in Beast, so its answer cannot be sent.
-  co_await AnswerFailure(result, false, false);
+  const RequestHead unread;
+  co_await AnswerFailure(unread, result, false, false);
   co_return false;
 }
 
@@ -325,6 +349,7 @@
     return ResultCode::MalformedRequest;
   }
   const std::string_view value = host->value();
+  aHead.m_host = std::string(value);
   aHead.m_service = std::string(value.substr(0, value.find(':')));
   if (aHead.m_service.empty() || aHead.m_service.size() > kMaxServiceBytes) {
     return ResultCode::MalformedRequest;
@@ -332,50 +357,47 @@
   aHead.m_method = std::string(message.method_string());
   aHead.m_path = std::string(message.target());
   aHead.m_headers = EndToEndFields(message);
-  std::erase_if(aHead.m_headers, [](const HeaderField& aField) {
-    return beast::iequals(aField.m_name, kTimeoutHeader) ||
-           beast::iequals(aField.m_name, kRetryHeader) ||
-           beast::iequals(aField.m_name, kRequestIdHeader);
-  });
   const FrontendSettings& settings = m_shared.m_settings;
-  aHead.m_remaining = settings.m_defaultTimeout;
   std::optional<Duration> asked;
-  if (const auto field = message.find(kTimeoutHeader); field != message.end()) {
-    if (!ParseMilliseconds(field->value(), aHead.m_remaining)) {
-      return ResultCode::InvalidHeader;
-    }
-    aHead.m_remaining = std::min(aHead.m_remaining, settings.m_maxTimeout);
-    asked = aHead.m_remaining;
+  if (const auto fault = m_shared.m_dialect->ReadRequest(aHead, asked)) {
+    return fault;
   }
-  if (const auto field = message.find(kKeyHeader); field != message.end()) {
-    if (field->value().empty() || field->value().size() > kMaxKeyBytes) {
-      return ResultCode::InvalidHeader;
-    }
-    aHead.m_key = std::string(field->value());
+  if (asked) {
+    asked = std::min(*asked, settings.m_maxTimeout);
   }
-  aHead.m_retrySpent = message.find(kRetryHeader) != message.end();
+  aHead.m_remaining = asked.value_or(settings.m_defaultTimeout);
   if (const auto length = aParser.content_length()) {
     aHead.m_bodyLength = *length;
   }
-  // RFC 9110 section 9.2.2.
-  static constexpr std::array<std::string_view, 6> kIdempotent = {
-    "GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"
-  };
-  for (const std::string_view method : kIdempotent) {
-    aHead.m_idempotent = aHead.m_idempotent || aHead.m_method == method;
-  }
-  if (m_shared.m_policy) {
-    m_shared.m_policy->Apply(aHead, asked);
-  }
-  return std::nullopt;
+  return m_shared.m_policy->Apply(aHead, asked);
+}
+
+Duration
+HttpCallerConnection::IdleTimeout() const
+{
+  const Duration published = m_shared.m_policy->Limits().m_idleTimeout;
+  return published > Duration::zero() ? published
+                                      : m_shared.m_settings.m_idleTimeout;
+}
+
+Duration
+HttpCallerConnection::HeadTimeout() const
+{
+  const Duration published = m_shared.m_policy->Limits().m_headTimeout;
+  return published > Duration::zero() ? published
+                                      : m_shared.m_settings.m_headTimeout;
 }
 
 asio::awaitable<bool>
 HttpCallerConnection::ServeRequest()
 {
   Parser parser;
-  parser.header_limit(m_shared.m_settings.m_maxHeadBytes);
-  parser.body_limit(m_shared.m_settings.m_maxBodyBytes);
+  const CallerLimits limits = m_shared.m_policy->Limits();
+  const FrontendSettings& settings = m_shared.m_settings;
+  parser.header_limit(limits.m_maxHeadBytes > 0 ? limits.m_maxHeadBytes
+                                                : settings.m_maxHeadBytes);
+  parser.body_limit(limits.m_maxBodyBytes > 0 ? limits.m_maxBodyBytes
+                                              : settings.m_maxBodyBytes);
   const bool received = co_await ReadHead(parser);
   if (!received) {
     co_return false;
@@ -384,12 +406,17 @@
   CallResult result;
   const bool headOnly = parser.get().method() == http::verb::head;
   bool keepAlive = parser.keep_alive();
-  if (const auto fault = FillHead(parser, head)) {
+  const std::optional<ResultCode> fault = FillHead(parser, head);
+  CallerBody body(m_stream, m_buffer, parser, m_shared.m_settings);
+  if (fault) {
+    // A body that has not been read yet could be taken for the next request.
     result.m_code = *fault;
-    co_await AnswerFailure(result, false, headOnly);
-    co_return false;
+    m_shared.m_onResult(head, result);
+    keepAlive = keepAlive && body.IsComplete() && !m_shared.m_stopping;
+    m_lingers = !body.IsComplete();
+    co_await AnswerFailure(head, result, keepAlive, headOnly);
+    co_return keepAlive;
   }
-  CallerBody body(m_stream, m_buffer, parser, m_shared.m_settings);
   if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
     body.ExpectContinue();
   }
@@ -400,12 +427,14 @@
   if (answer.IsStarted()) {
     // An answer that is not complete must not look complete: the connection
     // ends without the last chunk or with bytes missing.
+    m_lingers = !body.IsComplete();
     co_return keepAlive&& answer.IsComplete();
   }
   if (result.m_code == ResultCode::CallerGone) {
     co_return false;
   }
-  co_await AnswerFailure(result, keepAlive, headOnly);
+  m_lingers = !body.IsComplete();
+  co_await AnswerFailure(head, result, keepAlive, headOnly);
   co_return keepAlive;
 }
 
@@ -422,11 +451,8 @@
     co_return result;
   }
   const std::string_view begin = aBody.Prefetched();
-  aHead.m_digest =
-    IdentityOfContent(aHead.m_service, aHead.m_method, aHead.m_path, begin);
-  aHead.m_identity = aHead.m_key.empty()
-                       ? aHead.m_digest
-                       : IdentityOfKey(aHead.m_service, aHead.m_key);
+  aHead.m_identity =
+    IdentityOfContent(aHead.m_host, aHead.m_method, aHead.m_path, begin);
   if (aBody.IsComplete()) {
     aHead.m_body = std::move(aBody.Prefetched());
     aBody.Prefetched().clear();
@@ -434,9 +460,8 @@
     aHead.m_remaining =
       std::max(aHead.m_remaining, m_shared.m_settings.m_uploadTimeout);
   }
-  const auto winner =
-    co_await (m_shared.m_dispatcher->Handle(aHead, aBody, aAnswer) ||
-              WatchCaller(aHead, aBody));
+  const auto winner = co_await (
+    m_shared.m_dispatcher->Handle(aHead, aBody, aAnswer) || WatchCaller(aBody));
   if (winner.index() == 0) {
     co_return std::get<0>(winner);
   }
@@ -445,10 +470,9 @@
   co_return result;
 }
 
-// Returns when the caller has closed its connection and its request may be
-// cancelled.
+// Returns when the caller has closed its connection.
 asio::awaitable<void>
-HttpCallerConnection::WatchCaller(const RequestHead& aHead, CallerBody& aBody)
+HttpCallerConnection::WatchCaller(CallerBody& aBody)
 {
   while (!aBody.IsComplete()) {
     co_await aBody.Completed().Wait();
@@ -460,30 +484,28 @@
   const int socket = m_stream.socket().native_handle();
   const auto count = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   const bool gone = count == 0 || (count < 0 && errno != EAGAIN);
-  if (!gone || !aHead.m_idempotent) {
+  if (!gone) {
     Event never(m_shared.m_executor);
     co_await never.Wait();
   }
 }
 
 asio::awaitable<void>
-HttpCallerConnection::AnswerFailure(const CallResult& aResult,
+HttpCallerConnection::AnswerFailure(const RequestHead& aHead,
+                                    const CallResult& aResult,
                                     bool aKeepAlive,
                                     bool aHeadOnly)
 {
-  const ResultRow& row = RowOf(aResult.m_code);
+  OwnAnswer answer = m_shared.m_dialect->Describe(aHead, aResult);
   http::response<http::string_body> response;
   response.version(11);
-  response.result(row.m_httpStatus);
+  response.result(answer.m_status);
   response.set(http::field::content_type, "text/plain");
-  response.set(kResultHeader, std::to_string(static_cast<int>(row.m_code)));
-  response.set(kRunHeader, ToString(aResult.m_run));
-  if (row.m_httpStatus == 503) {
-    response.set(http::field::retry_after, "1");
+  for (const HeaderField& field : answer.m_headers) {
+    response.set(field.m_name, field.m_value);
   }
   response.keep_alive(aKeepAlive);
-  response.body() =
-    std::string(row.m_name) + ": " + std::string(row.m_meaning) + "\n";
+  response.body() = std::move(answer.m_body);
   response.prepare_payload();
   if (aHeadOnly) {
     response.body().clear(); // the length stays, as for the GET
--- a/src/frontend/caller_connection.h
+++ b/src/frontend/caller_connection.h
@@ -1,6 +1,7 @@
 // One caller's connection. Internal to the front end.
 #pragma once
 
+#include "dialect/dialect.h"
 #include "frontend/frontend.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -16,7 +17,8 @@
   asio::any_io_executor m_executor;
   std::shared_ptr<Clock> m_clock;
   std::shared_ptr<CallHandler> m_dispatcher;
-  std::shared_ptr<CallPolicy> m_policy; // may be empty
+  std::shared_ptr<CallPolicy> m_policy;
+  std::shared_ptr<CallerDialect> m_dialect;
   std::function<void(const RequestHead&, const CallResult&)> m_onResult;
   bool m_stopping = false;
 };
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -54,6 +54,7 @@
   m_shared.m_clock = aKernel.Find<Clock>("clock");
   m_shared.m_dispatcher = aKernel.Find<CallHandler>("dispatcher");
   m_shared.m_policy = aKernel.Find<CallPolicy>("call_policy");
+  m_shared.m_dialect = aKernel.Find<CallerDialect>("caller_dialect");
   m_shared.m_onResult = [this](const RequestHead& aHead,
                                const CallResult& aResult) {
     RecordResult(aHead, aResult);
@@ -131,7 +132,8 @@
   if (aResult.m_code != ResultCode::Ok) {
     m_logger->Write(LogLevel::Warning,
                     "request_failed",
-                    { { "service", aHead.m_service },
+                    { { "id", aHead.m_requestId },
+                      { "service", aHead.m_service },
                       { "method", aHead.m_method },
                       { "result", code },
                       { "name", RowOf(aResult.m_code).m_name },
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -3,6 +3,7 @@
 
 #include "call/call.h"
 #include "kernel/kernel.h"
+#include "routes/routes.h"
 
 namespace sassafrasquay {
 
@@ -25,13 +26,18 @@
 class CallPolicy : public virtual Component
 {
 public:
-  // Sets priority, idempotency and remaining time of a head whose service,
-  // method and path are known. aAsked is the caller's own limit, if any.
-  virtual void Apply(RequestHead& aHead,
-                     std::optional<Duration> aAsked) const = 0;
+  // Sets service, priority, idempotency, latency objective and remaining time
+  // of a head whose host, method and path are known. aAsked is the caller's
+  // own limit, if any. Returns the reason when the request is refused: NoRoute,
+  // UnknownService or NotReady.
+  virtual std::optional<ResultCode> Apply(RequestHead& aHead,
+                                          std::optional<Duration> aAsked) = 0;
+  // Published limits; they go before those of the settings.
+  virtual CallerLimits Limits() const { return {}; }
 };
 
-// The service "frontend". Requires "dispatcher" (CallHandler).
+// The service "frontend". Finds "call_policy" and "caller_dialect"; requires
+// "dispatcher" (CallHandler).
 std::shared_ptr<Service>
 MakeFrontend(FrontendSettings aSettings);
 
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -96,9 +96,7 @@
   if (!m_membership || m_stopping) {
     co_return;
   }
-  if (!m_silentStop) {
-    Perform(m_membership->Stop(m_clock->Now()));
-  }
+  Perform(m_membership->Stop(m_clock->Now()));
   m_stopping = true;
   boost::system::error_code ignored;
   m_socket->close(ignored);
@@ -276,6 +274,12 @@
   Perform(m_membership->SetTarget(aTarget, m_clock->Now()));
 }
 
+void
+GossipService::AddSeeds(const std::vector<Endpoint>& aSeeds)
+{
+  Perform(m_membership->AddSeeds(aSeeds, m_clock->Now()));
+}
+
 void
 GossipService::Leave()
 {
--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -127,9 +127,9 @@
   virtual bool Joined() const = 0;
   virtual bool Isolated() const = 0;
   virtual void SetTarget(const TargetInfo& aTarget) = 0;
+  // Introduces this node to others, one after the other.
+  virtual void AddSeeds(const std::vector<Endpoint>& aSeeds) = 0;
   virtual void Leave() = 0;
-  // Stop then sends no last words, so that the others count this node as lost.
-  virtual void StopWithoutNotice() = 0;
   virtual void SetConfigVersion(uint64_t aVersion) = 0;
   virtual void AddRumour(const Rumour& aRumour) = 0;
   // aListener must outlive the service or be removed.
@@ -170,8 +170,8 @@
   bool Joined() const override;
   bool Isolated() const override;
   void SetTarget(const TargetInfo& aTarget) override;
+  void AddSeeds(const std::vector<Endpoint>& aSeeds) override;
   void Leave() override;
-  void StopWithoutNotice() override { m_silentStop = true; }
   void SetConfigVersion(uint64_t aVersion) override;
   void AddRumour(const Rumour& aRumour) override;
   void AddListener(GossipListener& aListener) override;
@@ -200,7 +200,6 @@
   TimePoint m_armed = TimePoint::max(); // when the timer coroutine wakes
   size_t m_running = 0;                 // coroutines
   bool m_stopping = false;
-  bool m_silentStop = false;
   uint64_t m_sequence = 0;
   std::map<MemberKey, ReplayWindow> m_windows;
   std::vector<GossipListener*> m_listeners;
--- a/src/httpbase/httpbase.h
+++ b/src/httpbase/httpbase.h
@@ -13,7 +13,6 @@
 inline constexpr std::string_view kRetryHeader = "Sassafrasquay-Retry";
 inline constexpr std::string_view kRequestIdHeader = "Sassafrasquay-Request-Id";
 inline constexpr std::string_view kShedHeader = "Sassafrasquay-Shed";
-inline constexpr std::string_view kKeyHeader = "Idempotency-Key";
 
 // Copies every field that belongs to the message and not to the connection
 // (RFC 9110 section 7.6.1). Content-Length is left out: the body's framing is
--- a/src/idempotency/call_ledger.cpp
+++ b/src/idempotency/call_ledger.cpp
@@ -17,19 +17,6 @@
   bool m_idempotent = false;
 };
 
-struct KeyedCall
-{
-  KeyId m_key;
-  uint64_t m_digest = 0;
-  std::unique_ptr<std::string> m_answer; // small while there is none
-};
-
-struct RunningCall
-{
-  CallId m_call;
-  TimePoint m_extendedAt;
-};
-
 struct Ended
 {
   TimePoint m_at;
@@ -48,14 +35,8 @@
   BeginResult Begin(const CallHead& aHead, TimePoint aNow) override;
   StartResult Start(const CallId& aCall, TimePoint aNow) override;
   bool Refuse(const CallId& aCall, ResultCode aCode, TimePoint aNow) override;
-  void Finish(const CallId& aCall,
-              CallEnd aEnd,
-              std::optional<std::string> aAnswer,
-              TimePoint aNow) override;
+  void Finish(const CallId& aCall, CallEnd aEnd, TimePoint aNow) override;
   ResolveReply Resolve(const ResolveRequest& aRequest, TimePoint aNow) override;
-  std::vector<KeyRecord> KeyRecords(bool aWithAnswers,
-                                    TimePoint aNow) const override;
-  std::vector<RunningKey> DueExtensions(TimePoint aNow) override;
   size_t Size() const override { return m_calls.size(); }
 
 private:
@@ -63,26 +44,17 @@
 
   BeginResult Known(const Record& aRecord) const;
   BeginResult RefuseNew(const CallHead& aHead, ResultCode aCode, TimePoint);
-  BeginResult RefuseHeldKey(const CallHead& aHead, CallId aOther, TimePoint);
   void Accept(const CallHead& aHead, TimePoint aNow);
   void MarkNotRun(Calls::iterator aCall, ResultCode aCode, TimePoint aNow);
   void MarkEnded(Calls::iterator aCall, CallState aState, TimePoint aNow);
   ResolveReply LeaveTombstone(const ResolveRequest& aRequest, TimePoint aNow);
-  void KeepAnswer(const CallId& aCall, std::optional<std::string> aAnswer);
-  void DropAnswer(KeyedCall& aCall);
-  void ForgetKey(const CallId& aCall);
   void Expire(TimePoint aNow);
 
   NodeRef m_self;
   IdempotencyLimits m_limits;
   Calls m_calls;
-  std::unordered_map<CallId, KeyedCall> m_keyed; // may have run, or may yet
-  std::unordered_map<KeyId, CallId> m_keys;
-  std::vector<RunningCall> m_runningKeyed; // as many as the target has slots
-  std::deque<Ended> m_ended;               // may have run, and tombstones
+  std::deque<Ended> m_ended; // may have run, and tombstones
   std::deque<Ended> m_refused;
-  std::deque<CallId> m_answers; // with a kept answer, oldest first
-  size_t m_answerBytes = 0;
 };
 
 BeginResult
@@ -90,7 +62,7 @@
 {
   Expire(aNow);
   if (aHead.m_incarnation != m_self.m_incarnation) {
-    return { BeginVerdict::Unproven, ResultCode::PeerLost, {} };
+    return { BeginVerdict::Unproven, ResultCode::PeerLost };
   }
   const auto known = m_calls.find(aHead.m_call);
   if (known != m_calls.end()) {
@@ -98,41 +70,31 @@
   }
   if (aHead.m_idempotent) {
     Accept(aHead, aNow);
-    return { BeginVerdict::Accepted, ResultCode::Ok, {} };
+    return { BeginVerdict::Accepted, ResultCode::Ok };
   }
   // Its record may have expired already, so a refusal would prove nothing.
   if (aHead.m_age >= m_limits.m_retention) {
-    return { BeginVerdict::Unproven, ResultCode::PeerLost, {} };
+    return { BeginVerdict::Unproven, ResultCode::PeerLost };
   }
   if (aHead.m_age >= m_limits.m_maxCallAge) {
     return RefuseNew(aHead, ResultCode::ExpiredBeforeRun, aNow);
   }
-  if (aHead.m_key && !aHead.m_ownerAccepted) {
-    return RefuseNew(aHead, ResultCode::KeyOwnerUnreachable, aNow);
-  }
-  if (aHead.m_key) {
-    const auto holder = m_keys.find(*aHead.m_key);
-    if (holder != m_keys.end()) {
-      return RefuseHeldKey(aHead, holder->second, aNow);
-    }
-  }
   // At the bound new work is refused; forgetting a record would turn a later
   // "not run" into a guess.
-  if (m_calls.size() - m_refused.size() >= m_limits.m_maxCalls ||
-      (aHead.m_key && m_keys.size() >= m_limits.m_maxKeyed)) {
+  if (m_calls.size() - m_refused.size() >= m_limits.m_maxCalls) {
     return RefuseNew(aHead, ResultCode::Overloaded, aNow);
   }
   Accept(aHead, aNow);
-  return { BeginVerdict::Accepted, ResultCode::Ok, {} };
+  return { BeginVerdict::Accepted, ResultCode::Ok };
 }
 
 BeginResult
 MemoryCallLedger::Known(const Record& aRecord) const
 {
   if (ProvesNotRun(aRecord.m_state)) {
-    return { BeginVerdict::Refused, aRecord.m_code, {} };
+    return { BeginVerdict::Refused, aRecord.m_code };
   }
-  return { BeginVerdict::Repeat, ResultCode::Ok, {} };
+  return { BeginVerdict::Repeat, ResultCode::Ok };
 }
 
 BeginResult
@@ -142,23 +104,7 @@
 {
   const auto added = m_calls.emplace(aHead.m_call, Record{}).first;
   MarkNotRun(added, aCode, aNow);
-  return { BeginVerdict::Refused, aCode, {} };
-}
-
-BeginResult
-MemoryCallLedger::RefuseHeldKey(const CallHead& aHead,
-                                CallId aOther,
-                                TimePoint aNow)
-{
-  ResultCode code = ResultCode::DuplicateInProgress;
-  if (m_keyed.at(aOther).m_digest != aHead.m_digest) {
-    code = ResultCode::KeyReused;
-  } else if (m_calls.at(aOther).m_state == CallState::Answered) {
-    code = ResultCode::DuplicateAnswerGone;
-  }
-  BeginResult result = RefuseNew(aHead, code, aNow);
-  result.m_other = aOther;
-  return result;
+  return { BeginVerdict::Refused, aCode };
 }
 
 void
@@ -172,11 +118,6 @@
       std::min(aHead.m_deadline, aNow + (m_limits.m_maxCallAge - aHead.m_age));
   }
   m_calls.emplace(aHead.m_call, record);
-  if (aHead.m_key && !aHead.m_idempotent) {
-    m_keys.emplace(*aHead.m_key, aHead.m_call);
-    m_keyed.emplace(aHead.m_call,
-                    KeyedCall{ *aHead.m_key, aHead.m_digest, {} });
-  }
 }
 
 StartResult
@@ -194,9 +135,6 @@
     return { false, ResultCode::ExpiredBeforeRun };
   }
   found->second.m_state = CallState::Running;
-  if (m_keyed.contains(aCall)) {
-    m_runningKeyed.push_back({ aCall, aNow });
-  }
   return { true, ResultCode::Ok };
 }
 
@@ -212,18 +150,12 @@
 }
 
 void
-MemoryCallLedger::Finish(const CallId& aCall,
-                         CallEnd aEnd,
-                         std::optional<std::string> aAnswer,
-                         TimePoint aNow)
+MemoryCallLedger::Finish(const CallId& aCall, CallEnd aEnd, TimePoint aNow)
 {
   const auto found = m_calls.find(aCall);
   if (found == m_calls.end() || found->second.m_state != CallState::Running) {
     return;
   }
-  std::erase_if(m_runningKeyed, [&](const RunningCall& aRunning) {
-    return aRunning.m_call == aCall;
-  });
   switch (aEnd) {
     case CallEnd::Shed:
       MarkNotRun(found, ResultCode::TargetShed, aNow);
@@ -233,7 +165,6 @@
       return;
     case CallEnd::Answered:
       MarkEnded(found, CallState::Answered, aNow);
-      KeepAnswer(aCall, std::move(aAnswer));
       return;
     case CallEnd::Broken:
       MarkEnded(found, CallState::Broken, aNow);
@@ -246,7 +177,6 @@
                              ResultCode aCode,
                              TimePoint aNow)
 {
-  ForgetKey(aCall->first);
   if (aCall->second.m_idempotent) {
     m_calls.erase(aCall);
     return;
@@ -296,10 +226,6 @@
   }
   reply.m_state = found->second.m_state;
   reply.m_code = found->second.m_code;
-  const auto keyed = m_keyed.find(aRequest.m_call);
-  if (keyed != m_keyed.end() && keyed->second.m_answer) {
-    reply.m_answer = *keyed->second.m_answer;
-  }
   return reply;
 }
 
@@ -324,54 +250,11 @@
   return reply;
 }
 
-void
-MemoryCallLedger::KeepAnswer(const CallId& aCall,
-                             std::optional<std::string> aAnswer)
-{
-  const auto keyed = m_keyed.find(aCall);
-  if (keyed == m_keyed.end() || !aAnswer ||
-      aAnswer->size() > m_limits.m_maxAnswerSize) {
-    return;
-  }
-  m_answerBytes += aAnswer->size();
-  keyed->second.m_answer = std::make_unique<std::string>(std::move(*aAnswer));
-  m_answers.push_back(aCall);
-  while (m_answerBytes > m_limits.m_maxAnswerBytes) {
-    const auto oldest = m_keyed.find(m_answers.front());
-    if (oldest != m_keyed.end()) {
-      DropAnswer(oldest->second);
-    }
-    m_answers.pop_front();
-  }
-}
-
-void
-MemoryCallLedger::DropAnswer(KeyedCall& aCall)
-{
-  if (aCall.m_answer) {
-    m_answerBytes -= aCall.m_answer->size();
-    aCall.m_answer.reset();
-  }
-}
-
-void
-MemoryCallLedger::ForgetKey(const CallId& aCall)
-{
-  const auto keyed = m_keyed.find(aCall);
-  if (keyed == m_keyed.end()) {
-    return;
-  }
-  DropAnswer(keyed->second);
-  m_keys.erase(keyed->second.m_key);
-  m_keyed.erase(keyed);
-}
-
 void
 MemoryCallLedger::Expire(TimePoint aNow)
 {
   const TimePoint limit = aNow - m_limits.m_retention;
   while (!m_ended.empty() && m_ended.front().m_at <= limit) {
-    ForgetKey(m_ended.front().m_call);
     m_calls.erase(m_ended.front().m_call);
     m_ended.pop_front();
   }
@@ -379,41 +262,6 @@
     m_calls.erase(m_refused.front().m_call);
     m_refused.pop_front();
   }
-  while (!m_answers.empty() && !m_keyed.contains(m_answers.front())) {
-    m_answers.pop_front();
-  }
-}
-
-std::vector<KeyRecord>
-MemoryCallLedger::KeyRecords(bool aWithAnswers, TimePoint aNow) const
-{
-  std::vector<KeyRecord> records;
-  for (const auto& [call, keyed] : m_keyed) {
-    const Record& record = m_calls.at(call);
-    KeyRecord copy{ keyed.m_key, keyed.m_digest, call, m_self };
-    copy.m_answered = record.m_state == CallState::Answered;
-    if (copy.m_answered || record.m_state == CallState::Broken) {
-      copy.m_age = aNow - record.m_time;
-    }
-    if (aWithAnswers && keyed.m_answer) {
-      copy.m_answer = *keyed.m_answer;
-    }
-    records.push_back(std::move(copy));
-  }
-  return records;
-}
-
-std::vector<RunningKey>
-MemoryCallLedger::DueExtensions(TimePoint aNow)
-{
-  std::vector<RunningKey> due;
-  for (RunningCall& running : m_runningKeyed) {
-    if (aNow - running.m_extendedAt >= m_limits.m_retention / 4) {
-      running.m_extendedAt = aNow;
-      due.push_back({ m_keyed.at(running.m_call).m_key, running.m_call });
-    }
-  }
-  return due;
 }
 
 } // namespace
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -132,6 +132,29 @@
   return Finish();
 }
 
+Actions
+Membership::Impl::AddSeeds(const std::vector<Endpoint>& aSeeds, TimePoint aNow)
+{
+  if (!m_started || m_stopped) {
+    return {};
+  }
+  Begin(aNow);
+  for (const Endpoint& seed : aSeeds) {
+    const bool known =
+      std::find(m_contacts.begin(), m_contacts.end(), seed) != m_contacts.end();
+    if (!known && seed != Self().m_info.m_peer) {
+      m_contacts.push_back(seed);
+    }
+  }
+  // Nodes that start together must not all begin with the same one.
+  for (size_t i = m_contacts.size(); i > 1; --i) {
+    std::swap(m_contacts[i - 1], m_contacts[m_random.Below(i)]);
+  }
+  m_nextContact = m_now;
+  TickContacts();
+  return Finish();
+}
+
 void
 Membership::Impl::Begin(TimePoint aNow)
 {
@@ -237,6 +260,7 @@
   TickRelays();
   TickProbe();
   TickPull();
+  TickContacts();
   TickGossip();
   TickWanted();
   TickDigest();
@@ -253,6 +277,9 @@
   }
   TimePoint next = std::min({ m_nextDigest, m_nextRetry, m_nextForget });
   next = std::min(next, m_nextPull);
+  if (!m_contacts.empty()) {
+    next = std::min(next, m_nextContact);
+  }
   if (m_probe) {
     next = std::min(
       next, m_probe->m_indirect ? m_probe->m_deadline : m_probe->m_indirectAt);
@@ -516,6 +543,12 @@
   return m_impl->Join(std::move(aSeeds), aNow);
 }
 
+Actions
+Membership::AddSeeds(const std::vector<Endpoint>& aSeeds, TimePoint aNow)
+{
+  return m_impl->AddSeeds(aSeeds, aNow);
+}
+
 Actions
 Membership::OnDatagram(const Endpoint& aFrom,
                        const Datagram& aDatagram,
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -198,6 +198,7 @@
   // A page each 100 ms is 12 KB/s at the joining node.
   Duration m_pagePeriod = std::chrono::milliseconds(100);
   Duration m_pageTimeout = std::chrono::milliseconds(300);
+  Duration m_contactPeriod = std::chrono::milliseconds(50);
   Duration m_bootstrapWait = std::chrono::seconds(5); // no seed has a table
   Duration m_pauseThreshold = std::chrono::seconds(2);
   Duration m_isolatedAfter = std::chrono::seconds(4);
@@ -273,6 +274,10 @@
 
   // Starts joining through aSeeds; without seeds the node is the first one.
   Actions Join(std::vector<Endpoint> aSeeds, TimePoint aNow);
+  // Introduces a joined node to further nodes, one each m_contactPeriod. They
+  // answer with what they know, so tables of nodes that started on their own
+  // are merged.
+  Actions AddSeeds(const std::vector<Endpoint>& aSeeds, TimePoint aNow);
   Actions OnDatagram(const Endpoint& aFrom,
                      const Datagram& aDatagram,
                      TimePoint aNow);
--- a/src/membership/protocol.h
+++ b/src/membership/protocol.h
@@ -71,6 +71,7 @@
 
   // membership.cpp
   Actions Join(std::vector<Endpoint> aSeeds, TimePoint aNow);
+  Actions AddSeeds(const std::vector<Endpoint>& aSeeds, TimePoint aNow);
   Actions OnDatagram(const Endpoint& aFrom,
                      const Datagram& aDatagram,
                      TimePoint aNow);
@@ -167,6 +168,7 @@
 
   // sync.cpp
   void TickPull();
+  void TickContacts();
   void TickWanted();
   void TickDigest();
   Endpoint PageSource();
@@ -211,6 +213,8 @@
   bool m_anyPage = false; // even an incomplete one
   TimePoint m_joinStarted{};
   std::map<MemberKey, Wanted> m_wanted;
+  std::vector<Endpoint> m_contacts; // to introduce this node to
+  TimePoint m_nextContact{};
 
   TimePoint m_nextProbe;
   TimePoint m_nextGossip;
--- a/src/membership/sync.cpp
+++ b/src/membership/sync.cpp
@@ -55,6 +55,23 @@
   Send(PageSource(), std::move(request));
 }
 
+// The request carries the own record, and the page that answers it is merged
+// like any other datagram.
+void
+Membership::Impl::TickContacts()
+{
+  if (m_contacts.empty() || m_now < m_nextContact) {
+    return;
+  }
+  m_nextContact = m_now + m_settings.m_contactPeriod;
+  Datagram request = Make(MessageKind::SyncRequest);
+  request.m_records.push_back(Self().Record());
+  const bool sent = Send(m_contacts.back(), std::move(request));
+  if (sent) {
+    m_contacts.pop_back();
+  }
+}
+
 void
 Membership::Impl::OnSyncRequest(const Endpoint& aFrom,
                                 const Datagram& aDatagram)
--- a/src/node/fleet_view.cpp
+++ b/src/node/fleet_view.cpp
@@ -2,9 +2,7 @@
 #include "node/fleet_view.h"
 
 #include "gossip/gossip.h"
-#include "keys/keys.h"
 #include "logging/logging.h"
-#include "node/key_views.h"
 #include "routing/routing.h"
 #include "upstream/upstream.h"
 
@@ -33,7 +31,7 @@
 
   std::vector<std::string> Requires() const override
   {
-    return { "gossip", "gateway", "keys" };
+    return { "gossip", "gateway" };
   }
   asio::awaitable<void> Start(Kernel& aKernel) override;
   asio::awaitable<void> Stop() override;
@@ -44,7 +42,6 @@
   TargetInfo OwnTarget() const;
   void Update(const MemberChange& aChange, std::set<std::string>& aServices);
   void PassOn(const std::set<std::string>& aServices);
-  void PassOnKeyViews(const std::set<std::string>& aServices);
   void LogChange(const MemberChange& aChange);
 
   NodeId m_self;
@@ -55,10 +52,7 @@
   std::shared_ptr<Gossip> m_gossip;
   std::shared_ptr<Router> m_router;
   std::shared_ptr<TargetControl> m_target;
-  std::shared_ptr<KeyClaims> m_keys;
   std::map<NodeId, TargetInfo> m_targets; // usable ones, by node
-  KeyViews m_keyViews{ IdempotencyLimits().m_retention };
-  bool m_joined = false;
   std::unique_ptr<Event> m_ended;
   bool m_stopping = false;
   bool m_running = false;
@@ -72,7 +66,6 @@
   m_gossip = aKernel.Find<Gossip>("gossip");
   m_router = aKernel.Find<Router>("router");
   m_target = aKernel.Find<TargetControl>("gateway");
-  m_keys = aKernel.Find<KeyClaims>("keys");
   m_ended = std::make_unique<Event>(aKernel.Executor());
   m_gossip->AddListener(*this);
   Actions all;
@@ -125,7 +118,6 @@
       published = current;
     }
     co_await m_target->Changed().WaitFor(kTargetInterval);
-    PassOnKeyViews(m_keyViews.Expire(m_clock->Now()));
   }
   m_running = false;
   m_ended->Notify();
@@ -135,29 +127,10 @@
 FleetView::OnMembership(const Actions& aActions)
 {
   std::set<std::string> services;
-  std::set<std::string> keyViews;
   for (const MemberChange& change : aActions.m_changes) {
     Update(change, services);
-    keyViews.merge(m_keyViews.OnChange(change, m_clock->Now()));
-  }
-  if (m_gossip->Joined() && !m_joined) {
-    m_joined = true;
-    for (const auto& [node, info] : m_targets) {
-      keyViews.insert(info.m_service);
-    }
   }
   PassOn(services);
-  PassOnKeyViews(keyViews);
-}
-
-void
-FleetView::PassOnKeyViews(const std::set<std::string>& aServices)
-{
-  for (const std::string& service : aServices) {
-    KeyView view = m_keyViews.ViewOf(service);
-    view.m_historyKnown = m_joined;
-    m_keys->SetView(service, std::move(view), m_keyViews.PeersOf(service));
-  }
 }
 
 void
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -3,16 +3,16 @@
 
 #include "admission/admission.h"
 #include "control/control.h"
+#include "dialect/dialect.h"
 #include "dispatch/dispatch.h"
 #include "frontend/frontend.h"
 #include "gossip/gossip.h"
-#include "keys/keys.h"
-#include "logclient/config_follower.h"
 #include "logging/logging.h"
 #include "metrics/metrics.h"
-#include "node/config_exchange.h"
-#include "node/config_policy.h"
 #include "node/fleet_view.h"
+#include "node/node_policy.h"
+#include "node/operator_follower.h"
+#include "node/seed_finder.h"
 #include "node/suspect_news.h"
 #include "peer/peer.h"
 #include "quarantine/quarantine.h"
@@ -29,7 +29,9 @@
 #include <boost/json.hpp>
 #include <csignal>
 #include <cstdlib>
+#include <fstream>
 #include <map>
+#include <sstream>
 
 namespace sassafrasquay {
 
@@ -37,6 +39,8 @@
 
 constexpr int kExitStartFailed = 1;
 constexpr int kExitEndedEarly = 3;
+// Between two looks at the settings file, which may change without a signal.
+constexpr Duration kNodeFileInterval = std::chrono::seconds(2);
 
 std::string_view
 ToString(MemberState aState)
@@ -54,6 +58,15 @@
   return "gone";
 }
 
+std::string
+ReadText(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
 // The key's id is derived from it, so that operators set one value only.
 GossipKey
 MakeGossipKey(const std::string& aSecret)
@@ -61,39 +74,6 @@
   return { static_cast<uint32_t>(StableHash(aSecret)), aSecret };
 }
 
-// Hands the claims of idempotency keys over at a planned stop: after the
-// gateway's last call and before the last words of the gossip.
-class HandOver : public Service
-{
-public:
-  std::vector<std::string> Requires() const override
-  {
-    return { "keys", "gossip" };
-  }
-  asio::awaitable<void> Start(Kernel& aKernel) override
-  {
-    m_keys = aKernel.Find<KeyClaims>("keys");
-    m_gossip = aKernel.Find<Gossip>("gossip");
-    m_logger = aKernel.Find<Logger>("logger");
-    co_return;
-  }
-  asio::awaitable<void> Stop() override
-  {
-    const bool complete = co_await m_keys->HandOver();
-    if (!complete) {
-      // Without last words the others count this node as lost, so that they
-      // answer "maybe" for keys that it may have granted.
-      m_gossip->StopWithoutNotice();
-      m_logger->Write(LogLevel::Warning, "claims_not_handed_over", {});
-    }
-  }
-
-private:
-  std::shared_ptr<KeyClaims> m_keys;
-  std::shared_ptr<Gossip> m_gossip;
-  std::shared_ptr<Logger> m_logger;
-};
-
 class Node : public NodeState
 {
 public:
@@ -111,7 +91,7 @@
       return "the node is starting";
     }
     if (!m_policy->IsKnown()) {
-      return "no declaration is known; neither the log nor a peer gave one";
+      return "no routes are known; neither the store nor a peer gave any";
     }
     return m_gossip->Joined() ? "" : "the node has not joined the fleet";
   }
@@ -125,18 +105,25 @@
   void RegisterDecisions(Kernel& aKernel);
   void RegisterPeers(Kernel& aKernel);
   void RegisterFrontend(Kernel& aKernel);
+  bool OnPlatform() const { return m_settings.m_platform.m_store.has_value(); }
+  PolicySettings MakePolicySettings() const;
+  RetrySettings MakeRetrySettings() const;
   asio::awaitable<void> WaitForSignal(asio::signal_set& aSignals);
   asio::awaitable<void> EndOnSecondSignal(asio::signal_set& aSignals);
+  asio::awaitable<void> EndAtLimit(asio::any_io_executor aExecutor);
+  asio::awaitable<void> WatchNodeFile(asio::any_io_executor aExecutor);
+  void Reload();
 
   NodeSettings m_settings;
   std::shared_ptr<Clock> m_clock;
   std::shared_ptr<Random> m_random;
   std::shared_ptr<Logger> m_logger;
   std::shared_ptr<Metrics> m_metrics;
-  std::shared_ptr<ConfigPolicy> m_policy;
+  std::shared_ptr<NodePolicy> m_policy;
   std::shared_ptr<Gossip> m_gossip;
   std::shared_ptr<TargetControl> m_target;
   uint64_t m_incarnation = 0; // of this process
+  std::string m_nodeFileText; // as it was last read
   bool m_started = false;
   bool m_stopping = false;
 };
@@ -167,6 +154,25 @@
   RegisterFrontend(aKernel);
 }
 
+// A deployment bounds the repeated arrivals of a service summed over all nodes.
+// Each node takes an equal part of the reserve, for about as many nodes as a
+// service of this kind has callers, and stays below the share to leave room for
+// the calls that a repeated request makes itself.
+RetrySettings
+Node::MakeRetrySettings() const
+{
+  RetrySettings retry;
+  const DeploymentBounds& bounds = m_settings.m_platform.m_bounds;
+  if (bounds.m_retryShare > 0) {
+    constexpr double kShareUsed = 0.5;
+    constexpr double kNodes = 24;
+    retry.m_share = kShareUsed * bounds.m_retryShare;
+    retry.m_reserve = std::max(1.0, bounds.m_retryReserve / kNodes);
+    retry.m_refusalCost = 0; // a refusal between nodes reaches no target
+  }
+  return retry;
+}
+
 void
 Node::RegisterDecisions(Kernel& aKernel)
 {
@@ -174,14 +180,13 @@
   router.m_zone = m_settings.m_zone;
   router.m_region = m_settings.m_region;
   const NodeRef self{ m_settings.m_node, m_incarnation };
-  const IdempotencyLimits limits;
-  const std::shared_ptr<CallLedger> ledger = MakeCallLedger(self, limits);
   aKernel.Add("router", MakeRouter(router, *m_random));
-  aKernel.Add("retry", MakeRetryPolicy(RetrySettings(), *m_random));
-  aKernel.Add("admission", MakeAdmission(AdmissionSettings()));
+  aKernel.Add("retry", MakeRetryPolicy(MakeRetrySettings(), *m_random));
+  aKernel.Add("admission",
+              OnPlatform() ? MakeStatedAdmission(AdmissionSettings())
+                           : MakeAdmission(AdmissionSettings()));
   aKernel.Add("quarantine", MakeQuarantine(QuarantineSettings()));
-  aKernel.Add("ledger", ledger);
-  aKernel.Add("key_owner", MakeKeyOwner(self, limits, *ledger));
+  aKernel.Add("ledger", MakeCallLedger(self, IdempotencyLimits()));
 }
 
 void
@@ -194,6 +199,14 @@
   peer.m_listen = m_settings.m_peerListen;
   peer.m_key = m_settings.m_peerKey;
   peer.m_previousKey = m_settings.m_previousPeerKey;
+  if (OnPlatform()) {
+    // Requests have objectives of a few hundred milliseconds, so a silent link
+    // has to be found within that time.
+    peer.m_heartbeat = std::chrono::milliseconds(200);
+    peer.m_silence = std::chrono::milliseconds(600);
+    peer.m_connectTimeout = std::chrono::milliseconds(200);
+    peer.m_handshakeTimeout = std::chrono::milliseconds(500);
+  }
   aKernel.Add("peer_client", MakePeerClient(peer));
   aKernel.Add("peer_server", MakePeerServer(peer));
 
@@ -206,6 +219,11 @@
   member.m_info.m_region = m_settings.m_region;
   member.m_info.m_zone = m_settings.m_zone;
   gossip.m_seeds = m_settings.m_seeds;
+  if (OnPlatform()) {
+    // A fleet of a few dozen nodes, where members come and go within seconds.
+    gossip.m_membership.m_retryPeriod = std::chrono::seconds(1);
+    gossip.m_membership.m_digestPeriod = std::chrono::seconds(3);
+  }
   gossip.m_key = MakeGossipKey(m_settings.m_peerKey);
   if (!m_settings.m_previousPeerKey.empty()) {
     gossip.m_previousKey = MakeGossipKey(m_settings.m_previousPeerKey);
@@ -219,37 +237,33 @@
 
   // One service, found under the name of each of its interfaces.
   aKernel.Add("suspect_news", MakeSuspectNews());
-
-  KeySettings settings;
-  settings.m_self = { m_settings.m_node, m_incarnation };
-  const auto keys = MakeKeys(settings);
-  aKernel.Add("keys", keys);
-  aKernel.Add("key_service", keys);
-  aKernel.Add("claim_check", keys);
-  aKernel.Add("claim_source", keys);
-  aKernel.Add("handover", std::make_shared<HandOver>());
 }
 
 void
 Node::RegisterFrontend(Kernel& aKernel)
 {
-  if (m_settings.m_log) {
-    FollowerSettings follower;
-    follower.m_stream = m_settings.m_logStream;
-    follower.m_retention = m_settings.m_logRetention;
-    aKernel.Add("log",
-                MakeHttpLogClient(aKernel.Executor(), *m_settings.m_log));
-    aKernel.Add("config", std::make_shared<ConfigFollower>(follower));
+  if (OnPlatform()) {
+    RegisterPlatform(aKernel, m_settings.m_platform);
+    m_policy = MakePublishedPolicy(MakePolicySettings());
+    aKernel.Add("operator_follower", MakeOperatorFollower(FollowSettings()));
+    SeedFinderSettings seeds;
+    seeds.m_self = m_settings.m_peerListen;
+    aKernel.Add("seed_finder", MakeSeedFinder(seeds));
+  } else {
+    aKernel.Add("caller_dialect", MakeCallerDialect());
+    aKernel.Add("target_dialect", MakeTargetDialect());
+    m_policy = MakeDeclaredPolicy(MakePolicySettings());
   }
-  aKernel.Add("config_source",
-              MakeConfigExchange(m_settings.m_log.has_value()));
-  m_policy = MakeConfigPolicy(
-    { m_settings.m_node, m_settings.m_zone, m_settings.m_log.has_value() });
   aKernel.Add("call_policy", m_policy);
+  aKernel.Add("operator_state", m_policy);
 
   UpstreamSettings upstream;
   upstream.m_node = m_settings.m_node;
   upstream.m_nodeIncarnation = m_incarnation;
+  upstream.m_probeInterval = m_settings.m_probeInterval;
+  if (OnPlatform()) {
+    upstream.m_connectTimeout = std::chrono::milliseconds(250);
+  }
   aKernel.Add("gateway", MakeGateway(upstream));
   m_target = aKernel.Find<TargetControl>("gateway");
 
@@ -272,14 +286,31 @@
   aKernel.Add("frontend", MakeFrontend(frontend));
 
   ControlSettings control;
-  control.m_listen = m_settings.m_controlListen;
+  control.m_listen = { m_settings.m_controlListen };
+  if (m_settings.m_readyListen) {
+    control.m_listen.push_back(*m_settings.m_readyListen);
+  }
+  if (m_settings.m_adminListen) {
+    control.m_listen.push_back(*m_settings.m_adminListen);
+  }
+  control.m_extraPages = OnPlatform();
   aKernel.Add("control", MakeControl(control));
 }
 
+PolicySettings
+Node::MakePolicySettings() const
+{
+  PolicySettings policy;
+  policy.m_node = m_settings.m_node;
+  policy.m_zone = m_settings.m_zone;
+  policy.m_declaration = m_settings.m_declaration;
+  return policy;
+}
+
 asio::awaitable<int>
 Node::Run(Kernel& aKernel)
 {
-  asio::signal_set signals(aKernel.Executor(), SIGTERM, SIGINT);
+  asio::signal_set signals(aKernel.Executor(), SIGTERM, SIGINT, SIGHUP);
   try {
     co_await aKernel.StartAll();
   } catch (const std::exception& error) {
@@ -295,14 +326,19 @@
                     { "listen", ToString(m_settings.m_listen) },
                     { "peer_listen", ToString(m_settings.m_peerListen) },
                     { "control", ToString(m_settings.m_controlListen) } });
+  asio::co_spawn(
+    aKernel.Executor(), WatchNodeFile(aKernel.Executor()), asio::detached);
   co_await WaitForSignal(signals);
   m_stopping = true;
+  if (m_settings.m_shutdownLimit > Duration::zero()) {
+    asio::co_spawn(
+      aKernel.Executor(), EndAtLimit(aKernel.Executor()), asio::detached);
+  }
   asio::co_spawn(
     aKernel.Executor(), EndOnSecondSignal(signals), asio::detached);
   m_logger->Write(LogLevel::Info,
                   "shutdown_started",
                   { { "leave_delay_ms", m_settings.m_leaveDelay } });
-  m_target->Drain();
   m_gossip->Leave();
   // Other nodes learn of the leaving before the listeners close.
   asio::steady_timer timer(aKernel.Executor());
@@ -316,15 +352,83 @@
 asio::awaitable<void>
 Node::WaitForSignal(asio::signal_set& aSignals)
 {
-  co_await aSignals.async_wait(asio::use_awaitable);
+  while (true) {
+    const int signal = co_await aSignals.async_wait(asio::use_awaitable);
+    if (signal != SIGHUP) {
+      co_return;
+    }
+    Reload();
+  }
+}
+
+asio::awaitable<void>
+Node::WatchNodeFile(asio::any_io_executor aExecutor)
+{
+  asio::steady_timer timer(aExecutor);
+  while (!m_settings.m_nodeFile.empty() && !m_stopping) {
+    if (ReadText(m_settings.m_nodeFile) != m_nodeFileText) {
+      Reload();
+    }
+    timer.expires_after(kNodeFileInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+// The level and sampling of the log take effect at once; the other settings
+// with the next start.
+void
+Node::Reload()
+{
+  if (m_settings.m_nodeFile.empty()) {
+    m_logger->Write(LogLevel::Info, "settings_unchanged", {});
+    return;
+  }
+  const std::string text = ReadText(m_settings.m_nodeFile);
+  const bool first = m_nodeFileText.empty();
+  const bool changed = text != m_nodeFileText;
+  m_nodeFileText = text;
+  if (first || !changed) {
+    return;
+  }
+  std::vector<std::string> faults;
+  NodeSettings settings = m_settings;
+  if (ReadNodeFile(m_settings.m_nodeFile, faults)) {
+    settings = ReadNodeSettings(faults);
+  }
+  for (const std::string& fault : faults) {
+    m_logger->Write(
+      LogLevel::Error, "settings_rejected", { { "fault", fault } });
+  }
+  if (!faults.empty()) {
+    return;
+  }
+  LogLevel level = LogLevel::Info;
+  ParseLogLevel(settings.m_logLevel, level);
+  m_logger->SetLevel(level);
+  m_logger->SetDecisionSample(settings.m_decisionSample);
+  m_logger->Write(
+    LogLevel::Info, "settings_reloaded", { { "file", m_settings.m_nodeFile } });
+}
+
+asio::awaitable<void>
+Node::EndAtLimit(asio::any_io_executor aExecutor)
+{
+  asio::steady_timer timer(aExecutor);
+  timer.expires_after(m_settings.m_shutdownLimit);
+  co_await timer.async_wait(asio::use_awaitable);
+  m_logger->Write(LogLevel::Warning, "shutdown_limit_reached", {});
+  std::_Exit(kExitEndedEarly);
 }
 
 asio::awaitable<void>
 Node::EndOnSecondSignal(asio::signal_set& aSignals)
 {
   boost::system::error_code error;
-  co_await aSignals.async_wait(
-    asio::redirect_error(asio::use_awaitable, error));
+  int signal = SIGHUP;
+  while (!error && signal == SIGHUP) {
+    signal = co_await aSignals.async_wait(
+      asio::redirect_error(asio::use_awaitable, error));
+  }
   if (!error) {
     m_logger->Write(LogLevel::Warning, "shutdown_cut_short", {});
     std::_Exit(kExitEndedEarly);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -5,9 +5,8 @@
 //   [2] Run
 #pragma once
 
-#include "core/core.h"
-
-#include <optional>
+#include "config/config.h"
+#include "platform/platform.h"
 
 namespace sassafrasquay {
 
@@ -21,13 +20,15 @@
   NodeId m_node;
   std::string m_zone;
   std::string m_region;
-  Endpoint m_listen;             // callers
-  Endpoint m_peerListen;         // other nodes
-  Endpoint m_controlListen;      // the target and administrators
-  std::vector<Endpoint> m_seeds; // peer addresses of other nodes
-  std::optional<Endpoint> m_log; // the platform's log, for the declaration
-  std::string m_logStream;
-  Duration m_logRetention{};
+  Endpoint m_listen;                     // callers
+  Endpoint m_peerListen;                 // other nodes
+  Endpoint m_controlListen;              // the target and administrators
+  std::optional<Endpoint> m_readyListen; // readiness checks only
+  std::optional<Endpoint> m_adminListen; // metrics and status only
+  std::vector<Endpoint> m_seeds;         // peer addresses of other nodes
+  PlatformSettings m_platform;
+  std::string m_nodeFile;    // flags, read again on SIGHUP; may be empty
+  Declaration m_declaration; // the built-in defaults without a file
   std::string m_peerKey;
   std::string m_previousPeerKey;
   bool m_logJson = false;
@@ -42,13 +43,21 @@
   Duration m_defaultTimeout{};
   Duration m_maxTimeout{};
   Duration m_uploadTimeout{};
-  Duration m_leaveDelay{}; // time for the news of leaving to spread
+  Duration m_leaveDelay{};    // time for the news of leaving to spread
+  Duration m_shutdownLimit{}; // from the signal to a forced end; 0: none
+  Duration m_probeInterval{}; // of the target's load; 0: no probes
 };
 
 // Reads the flags; appends one sentence for each fault to aFaults.
 NodeSettings
 ReadNodeSettings(std::vector<std::string>& aFaults);
 
+// Sets the flags that a file names, one "--flag=value" a line; lines that are
+// empty or begin with # do not count. With a fault, which names the line, no
+// flag is changed. False when there was a fault.
+bool
+ReadNodeFile(const std::string& aPath, std::vector<std::string>& aFaults);
+
 //-----------------------------------------------------------------------------
 // [2] Run
 //-----------------------------------------------------------------------------
--- /dev/null
+++ b/src/node/node_policy.cpp
@@ -0,0 +1,301 @@
+// What is in force for calls.
+#include "node/node_policy.h"
+
+#include "admission/admission.h"
+#include "logging/logging.h"
+#include "routing/routing.h"
+#include "upstream/upstream.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <unordered_map>
+
+namespace sassafrasquay {
+
+namespace {
+
+constexpr size_t kMaxCachedServices = 1024;
+// Priority of the most urgent rank; lower ranks follow in steps.
+constexpr uint32_t kTopPriority = 250;
+constexpr uint32_t kRankStep = 10;
+
+//-----------------------------------------------------------------------------
+// Declaration only
+//-----------------------------------------------------------------------------
+
+class DeclaredPolicy : public NodePolicy
+{
+public:
+  explicit DeclaredPolicy(PolicySettings aSettings)
+    : m_settings(std::move(aSettings))
+  {
+  }
+
+  std::vector<std::string> Requires() const override { return { "gateway" }; }
+  asio::awaitable<void> Start(Kernel& aKernel) override;
+  asio::awaitable<void> Stop() override;
+  std::optional<ResultCode> Apply(RequestHead& aHead,
+                                  std::optional<Duration> aAsked) override;
+  std::optional<OperatorState> CurrentState() const override
+  {
+    return std::nullopt;
+  }
+  uint64_t Version() const override { return 0; }
+  bool IsKnown() const override { return true; }
+  void Offer(OperatorState, std::string_view) override {}
+  Event& Changed() override { return *m_changed; }
+
+protected:
+  const ServiceSettings& For(const std::string& aService);
+  // Called when the target's service may have changed.
+  virtual void ApplyToTarget();
+
+  PolicySettings m_settings;
+  std::shared_ptr<Clock> m_clock;
+  std::shared_ptr<Logger> m_logger;
+  std::shared_ptr<Router> m_router;
+  std::shared_ptr<Admission> m_admission;
+  std::shared_ptr<TargetControl> m_target;
+
+private:
+  asio::awaitable<void> FollowTarget();
+
+  std::unordered_map<std::string, ServiceSettings> m_cache; // by service
+  std::unique_ptr<Event> m_changed;
+  bool m_running = false;
+  bool m_stopping = false;
+};
+
+asio::awaitable<void>
+DeclaredPolicy::Start(Kernel& aKernel)
+{
+  m_clock = aKernel.Find<Clock>("clock");
+  m_logger = aKernel.Find<Logger>("logger");
+  m_router = aKernel.Find<Router>("router");
+  m_admission = aKernel.Find<Admission>("admission");
+  m_target = aKernel.Find<TargetControl>("gateway");
+  m_changed = std::make_unique<Event>(aKernel.Executor());
+  const FleetSettings& fleet = m_settings.m_declaration.m_fleet;
+  std::vector<std::string> zones;
+  zones.reserve(fleet.m_zonesOut.size());
+  for (const ZoneOutOfService& zone : fleet.m_zonesOut) {
+    zones.push_back(zone.m_zone);
+  }
+  m_router->SetZonesOut(zones, m_clock->Now());
+  m_admission->SetZoneOut(fleet.IsOut(m_settings.m_zone), m_clock->Now());
+  m_running = true;
+  asio::co_spawn(aKernel.Executor(), FollowTarget(), asio::detached);
+  co_return;
+}
+
+asio::awaitable<void>
+DeclaredPolicy::Stop()
+{
+  m_stopping = true;
+  m_target->Changed().Notify();
+  while (m_running) {
+    co_await m_changed->Wait();
+  }
+}
+
+// The exceptions that count depend on the service that the target announces.
+asio::awaitable<void>
+DeclaredPolicy::FollowTarget()
+{
+  while (!m_stopping) {
+    ApplyToTarget();
+    co_await m_target->Changed().Wait();
+  }
+  m_running = false;
+  m_changed->Notify();
+}
+
+void
+DeclaredPolicy::ApplyToTarget()
+{
+  const auto target = m_target->Target();
+  if (!target) {
+    return;
+  }
+  const ServiceSettings service = EffectiveSettings(m_settings.m_declaration,
+                                                    target->m_service,
+                                                    m_settings.m_zone,
+                                                    m_settings.m_node.m_value);
+  AdmissionSettings settings;
+  settings.m_queuePerSlot = service.m_queuePerSlot;
+  settings.m_coldLimit = service.m_coldLimit;
+  m_admission->SetSettings(settings);
+}
+
+const ServiceSettings&
+DeclaredPolicy::For(const std::string& aService)
+{
+  const auto found = m_cache.find(aService);
+  if (found != m_cache.end()) {
+    return found->second;
+  }
+  // Callers choose the service name, so the cache must not grow with it.
+  if (m_cache.size() >= kMaxCachedServices) {
+    m_cache.clear();
+  }
+  const ServiceSettings settings = EffectiveSettings(
+    m_settings.m_declaration, aService, m_settings.m_zone, "");
+  return m_cache.emplace(aService, settings).first->second;
+}
+
+std::optional<ResultCode>
+DeclaredPolicy::Apply(RequestHead& aHead, std::optional<Duration> aAsked)
+{
+  if (!m_router->Knows(aHead.m_service)) {
+    return ResultCode::UnknownService;
+  }
+  const ServiceSettings& settings = For(aHead.m_service);
+  aHead.m_priority = settings.m_priority;
+  aHead.m_idempotent = IsIdempotent(settings, aHead.m_method, aHead.m_path);
+  aHead.m_remaining =
+    std::min(aAsked.value_or(settings.m_defaultTimeout), settings.m_maxTimeout);
+  return std::nullopt;
+}
+
+//-----------------------------------------------------------------------------
+// Published routes
+//-----------------------------------------------------------------------------
+
+class PublishedPolicy : public DeclaredPolicy
+{
+public:
+  using DeclaredPolicy::DeclaredPolicy;
+
+  asio::awaitable<void> Start(Kernel& aKernel) override;
+  std::optional<ResultCode> Apply(RequestHead& aHead,
+                                  std::optional<Duration> aAsked) override;
+  CallerLimits Limits() const override
+  {
+    return Routes() ? Routes()->m_limits : CallerLimits();
+  }
+  std::optional<OperatorState> CurrentState() const override
+  {
+    return m_store && m_store->State().m_position > 0
+             ? std::optional(m_store->State())
+             : std::nullopt;
+  }
+  uint64_t Version() const override
+  {
+    return m_store ? m_store->State().m_position : 0;
+  }
+  bool IsKnown() const override { return Routes() != nullptr; }
+  void Offer(OperatorState aState, std::string_view aSource) override;
+
+protected:
+  void ApplyToTarget() override;
+
+private:
+  const RouteTable* Routes() const
+  {
+    return m_store ? m_store->Routes().get() : nullptr;
+  }
+
+  std::shared_ptr<RouteDocuments> m_documents;
+  std::unique_ptr<OperatorStore> m_store;
+  WeightedChoice m_choice;
+};
+
+asio::awaitable<void>
+PublishedPolicy::Start(Kernel& aKernel)
+{
+  m_documents = aKernel.Find<RouteDocuments>("route_documents");
+  m_store = std::make_unique<OperatorStore>(*m_documents);
+  co_await DeclaredPolicy::Start(aKernel);
+}
+
+std::optional<ResultCode>
+PublishedPolicy::Apply(RequestHead& aHead, std::optional<Duration> aAsked)
+{
+  const RouteTable* table = Routes();
+  if (table == nullptr) {
+    return ResultCode::NotReady;
+  }
+  const Route* route = FindRoute(*table, aHead.m_host, aHead.m_path);
+  if (route == nullptr) {
+    return ResultCode::NoRoute;
+  }
+  aHead.m_service = m_choice.Choose(*route);
+  const ServiceSettings& settings = For(aHead.m_service);
+  aHead.m_idempotent = route->m_idempotent;
+  aHead.m_maxAttempts = route->m_maxAttempts;
+  aHead.m_priority = static_cast<uint8_t>(
+    kTopPriority - std::min(kTopPriority, kRankStep * route->m_rank));
+  aHead.m_routeClass = static_cast<uint32_t>(StableHash(route->m_name));
+  aHead.m_goal = route->m_goal;
+  aHead.m_remaining =
+    std::min(aAsked.value_or(settings.m_defaultTimeout), settings.m_maxTimeout);
+  if (route->m_timeout > Duration::zero()) {
+    aHead.m_remaining = std::min(aHead.m_remaining, route->m_timeout);
+  }
+  return std::nullopt;
+}
+
+void
+PublishedPolicy::Offer(OperatorState aState, std::string_view aSource)
+{
+  const bool outBefore = std::binary_search(m_store->State().m_zonesOut.begin(),
+                                            m_store->State().m_zonesOut.end(),
+                                            m_settings.m_zone);
+  const OfferResult result = m_store->Offer(std::move(aState));
+  if (result == OfferResult::Older) {
+    return;
+  }
+  const OperatorState& state = m_store->State();
+  const bool out = std::binary_search(
+    state.m_zonesOut.begin(), state.m_zonesOut.end(), m_settings.m_zone);
+  const TimePoint now = m_clock->Now();
+  m_router->SetZonesOut(state.m_zonesOut, now);
+  m_admission->SetZoneOut(out, now);
+  ApplyToTarget();
+  const bool faulty = result == OfferResult::Faulty;
+  m_logger->Write(
+    faulty ? LogLevel::Error : LogLevel::Info,
+    faulty ? "config_rejected" : "config_applied",
+    { { "position", state.m_position },
+      { "version", Routes() != nullptr ? Routes()->m_version : 0 },
+      { "zones_out", static_cast<uint64_t>(state.m_zonesOut.size()) },
+      { "own_zone_out", out },
+      { "source", aSource },
+      { "fault", m_store->Fault() } });
+  if (outBefore && !out) {
+    m_target->TurnCold(); // until it states that it is warm
+  }
+  Changed().Notify();
+}
+
+void
+PublishedPolicy::ApplyToTarget()
+{
+  DeclaredPolicy::ApplyToTarget();
+  const auto target = m_target->Target();
+  const RouteTable* table = Routes();
+  if (!target || table == nullptr) {
+    return;
+  }
+  const auto found = table->m_services.find(target->m_service);
+  if (found != table->m_services.end()) {
+    m_target->SetTraits(found->second);
+  }
+}
+
+} // namespace
+
+std::shared_ptr<NodePolicy>
+MakeDeclaredPolicy(PolicySettings aSettings)
+{
+  return std::make_shared<DeclaredPolicy>(std::move(aSettings));
+}
+
+std::shared_ptr<NodePolicy>
+MakePublishedPolicy(PolicySettings aSettings)
+{
+  return std::make_shared<PublishedPolicy>(std::move(aSettings));
+}
+
+} // namespace sassafrasquay
--- /dev/null
+++ b/src/node/node_policy.h
@@ -0,0 +1,49 @@
+// What is in force for calls: the declaration, and on top of it the operators'
+// published routes and zones.
+#pragma once
+
+#include "config/config.h"
+#include "frontend/frontend.h"
+#include "peer/peer.h"
+
+namespace sassafrasquay {
+
+struct PolicySettings
+{
+  NodeId m_node;
+  std::string m_zone;
+  Declaration m_declaration; // the built-in defaults when no file is given
+  // Rules of the deployment about retries; zero: the declaration's share.
+  double m_retryShare = 0;
+  double m_retryReserve = 0; // of the whole fleet
+};
+
+// The service "call_policy" (CallPolicy) and "operator_state"
+// (OperatorStateSource). Finds "router", "admission" and "gateway".
+class NodePolicy
+  : public Service
+  , public CallPolicy
+  , public OperatorStateSource
+{
+public:
+  // Position of the published state in force; 0 before the first, or when
+  // nothing is published.
+  virtual uint64_t Version() const = 0;
+  // False while routes are expected and none are known.
+  virtual bool IsKnown() const = 0;
+  // Takes over a state that is newer than the one in force; aSource is named
+  // in the log.
+  virtual void Offer(OperatorState aState, std::string_view aSource) = 0;
+  // Wakes when the state in force has changed.
+  virtual Event& Changed() = 0;
+};
+
+// Host names the service; only the declaration counts.
+std::shared_ptr<NodePolicy>
+MakeDeclaredPolicy(PolicySettings aSettings);
+
+// Routes are published. Also finds "route_documents".
+std::shared_ptr<NodePolicy>
+MakePublishedPolicy(PolicySettings aSettings);
+
+} // namespace sassafrasquay
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -4,6 +4,7 @@
 #include "logging/logging.h"
 
 #include <boost/asio/ip/address.hpp>
+#include <fstream>
 #include <gflags/gflags.h>
 #include <sstream>
 
@@ -19,14 +20,19 @@
               "",
               "peer addresses IP:port of other nodes, separated by commas; one "
               "that answers is enough; none: this node starts a fleet");
-DEFINE_string(log,
+DEFINE_string(node_file,
               "",
-              "IP:port of the log that holds the declaration; none: the "
+              "file of flags, one --flag=value a line; read at the start, on "
+              "SIGHUP and when it changes; flags of the command line go first");
+DEFINE_string(declaration,
+              "",
+              "file with the fleet's defaults and exceptions; none: the "
               "built-in defaults are in force");
-DEFINE_string(log_stream, "config", "stream of the declaration in the log");
-DEFINE_uint32(log_retention_s,
-              3600,
-              "seconds for which the log keeps a record");
+DEFINE_string(ready_listen, "", "IP:port for readiness checks; may be empty");
+DEFINE_string(admin_listen,
+              "",
+              "IP:port for metrics and status besides --control_listen; may be "
+              "empty");
 DEFINE_string(peer_key, "", "key that nodes share; at least 16 characters");
 DEFINE_string(previous_peer_key,
               "",
@@ -55,6 +61,14 @@
 DEFINE_uint32(leave_delay_ms,
               1000,
               "ms between announcing a shutdown and closing the listeners");
+DEFINE_uint32(shutdown_limit_ms,
+              0,
+              "ms from the first signal to a forced end of the process; 0: "
+              "every exchange is finished, however long it takes");
+DEFINE_uint32(probe_interval_ms,
+              0,
+              "ms between two questions for the target's load; 0: none are "
+              "asked, the answers to calls carry it");
 
 namespace sassafrasquay {
 
@@ -121,14 +135,34 @@
   for (const std::string& seed : Split(FLAGS_seeds, ',')) {
     aSettings.m_seeds.push_back(ReadEndpoint("seeds", seed, aFaults));
   }
-  if (!FLAGS_log.empty()) {
-    aSettings.m_log = ReadEndpoint("log", FLAGS_log, aFaults);
+  if (!FLAGS_ready_listen.empty()) {
+    aSettings.m_readyListen =
+      ReadEndpoint("ready_listen", FLAGS_ready_listen, aFaults);
+  }
+  if (!FLAGS_admin_listen.empty()) {
+    aSettings.m_adminListen =
+      ReadEndpoint("admin_listen", FLAGS_admin_listen, aFaults);
+  }
+}
+
+void
+ReadDeclaration(NodeSettings& aSettings, std::vector<std::string>& aFaults)
+{
+  if (FLAGS_declaration.empty()) {
+    return;
+  }
+  std::ifstream file(FLAGS_declaration);
+  if (!file) {
+    aFaults.push_back("--declaration: cannot read '" + FLAGS_declaration + "'");
+    return;
   }
-  aSettings.m_logStream = FLAGS_log_stream;
-  aSettings.m_logRetention = std::chrono::seconds(FLAGS_log_retention_s);
-  if (FLAGS_log_retention_s < 10) {
-    aFaults.emplace_back("--log_retention_s must be at least 10");
+  std::stringstream text;
+  text << file.rdbuf();
+  const CheckResult checked = CheckDeclaration(text.str());
+  for (const Fault& fault : checked.m_faults) {
+    aFaults.push_back(FLAGS_declaration + ": " + ToString(fault));
   }
+  aSettings.m_declaration = checked.m_declaration;
 }
 
 void
@@ -155,6 +189,10 @@
   aSettings.m_uploadTimeout =
     read("upload_timeout_ms", FLAGS_upload_timeout_ms);
   aSettings.m_leaveDelay = std::chrono::milliseconds(FLAGS_leave_delay_ms);
+  aSettings.m_shutdownLimit =
+    std::chrono::milliseconds(FLAGS_shutdown_limit_ms);
+  aSettings.m_probeInterval =
+    std::chrono::milliseconds(FLAGS_probe_interval_ms);
 }
 
 } // namespace
@@ -192,9 +230,62 @@
   settings.m_logJson = FLAGS_log_format == "json";
   settings.m_logLevel = FLAGS_log_level;
   settings.m_decisionSample = FLAGS_decision_sample;
+  settings.m_nodeFile = FLAGS_node_file;
   ReadPeers(settings, aFaults);
   ReadLimits(settings, aFaults);
+  ReadDeclaration(settings, aFaults);
+  settings.m_platform = ReadPlatformSettings(aFaults);
   return settings;
 }
 
+namespace {
+
+bool
+IsValid(const std::string& aName, const std::string& aValue)
+{
+  const gflags::FlagSaver restores; // the flags as they were
+  return !gflags::SetCommandLineOption(aName.c_str(), aValue.c_str()).empty();
+}
+
+} // namespace
+
+bool
+ReadNodeFile(const std::string& aPath, std::vector<std::string>& aFaults)
+{
+  std::ifstream file(aPath);
+  if (!file) {
+    aFaults.push_back("cannot read '" + aPath + "'");
+    return false;
+  }
+  const size_t faults = aFaults.size();
+  std::vector<std::pair<std::string, std::string>> changes;
+  std::string line;
+  for (size_t number = 1; std::getline(file, line); ++number) {
+    const size_t begin = line.find_first_not_of(" \t\r");
+    if (begin == std::string::npos || line[begin] == '#') {
+      continue;
+    }
+    const std::string place = aPath + " line " + std::to_string(number) + ": ";
+    const size_t equals = line.find('=');
+    if (line.compare(begin, 2, "--") != 0 || equals == std::string::npos) {
+      aFaults.push_back(place + "must be --flag=value");
+      continue;
+    }
+    const std::string name = line.substr(begin + 2, equals - begin - 2);
+    const std::string value =
+      line.substr(equals + 1, line.find_last_not_of(" \t\r") - equals);
+    if (!IsValid(name, value)) {
+      aFaults.push_back(place + "no such flag, or an invalid value: --" + name);
+    }
+    changes.emplace_back(name, value);
+  }
+  if (aFaults.size() != faults) {
+    return false;
+  }
+  for (const auto& [name, value] : changes) {
+    gflags::SetCommandLineOption(name.c_str(), value.c_str());
+  }
+  return true;
+}
+
 } // namespace sassafrasquay
--- a/src/peer/link.cpp
+++ b/src/peer/link.cpp
@@ -89,38 +89,6 @@
   co_return co_await Flush();
 }
 
-asio::awaitable<std::error_code>
-Link::SendPages(const CallId& aCall, FrameContent aContent)
-{
-  std::vector<FrameContent> pages = SplitPages(std::move(aContent));
-  for (FrameContent& page : pages) {
-    const std::error_code error = co_await Send(aCall, std::move(page));
-    if (error) {
-      co_return error;
-    }
-  }
-  co_return std::error_code();
-}
-
-asio::awaitable<std::error_code>
-Link::ReceivePages(const CallId& aCall, FrameContent& aWhole, Duration aTimeout)
-{
-  PeerFrame frame;
-  while (!IsLastPage(aWhole)) {
-    std::error_code error = co_await Receive(frame, aTimeout);
-    if (!error && frame.m_call != aCall) {
-      error = ResultCode::MalformedFrame;
-    }
-    if (!error) {
-      error = JoinPage(aWhole, std::move(frame.m_content));
-    }
-    if (error) {
-      co_return error;
-    }
-  }
-  co_return std::error_code();
-}
-
 bool
 Link::TakeFrame(PeerFrame& aFrame, std::error_code& aError)
 {
--- a/src/peer/link.h
+++ b/src/peer/link.h
@@ -24,14 +24,6 @@
   // Queue and Flush.
   asio::awaitable<std::error_code> Send(const CallId& aCall,
                                         FrameContent aContent);
-  // Sends a content of any size, in pages.
-  asio::awaitable<std::error_code> SendPages(const CallId& aCall,
-                                             FrameContent aContent);
-  // Receives the pages that follow aWhole and joins them to it; each must
-  // arrive within aTimeout and repeat the call id.
-  asio::awaitable<std::error_code> ReceivePages(const CallId& aCall,
-                                                FrameContent& aWhole,
-                                                Duration aTimeout);
   // timed_out when no whole frame arrived within aTimeout. May be cancelled
   // and called again; no bytes are lost.
   asio::awaitable<std::error_code> Receive(PeerFrame& aFrame,
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -56,10 +56,9 @@
                                            BodySource& aBody,
                                            AnswerSink& aAnswer) = 0;
 
-  // One question and its answer; lists of records are paged on the link and
-  // joined again. nullopt without a whole answer within aTimeout. Asked once
-  // more on a new link when a pooled one fails, so the question must be one
-  // that may be repeated.
+  // One question and its answer; nullopt without an answer within aTimeout.
+  // Asked once more on a new link when a pooled one fails, so the question must
+  // be one that may be repeated.
   virtual asio::awaitable<std::optional<PeerAnswer>> Ask(const Endpoint& aPeer,
                                                          FrameContent aQuestion,
                                                          Duration aTimeout) = 0;
@@ -72,16 +71,16 @@
 // [3] Server
 //-----------------------------------------------------------------------------
 
-// The declaration in force, for nodes that ask; "config_source" in the kernel.
-class ConfigSource : public virtual Component
+// What operators have published, for nodes that ask; "operator_state" in the
+// kernel.
+class OperatorStateSource : public virtual Component
 {
 public:
-  // nullopt when none is certain.
-  virtual std::optional<PeerConfig> CurrentConfig() const = 0;
+  // nullopt when nothing is known.
+  virtual std::optional<OperatorState> CurrentState() const = 0;
 };
 
-// Requires the services "gateway" (CallHandler and FateSource) and
-// "key_service" (KeyPeer).
+// Requires the service "gateway" (CallHandler and FateSource).
 std::shared_ptr<Service>
 MakePeerServer(PeerSettings aSettings);
 
--- a/src/peer/peer_client.cpp
+++ b/src/peer/peer_client.cpp
@@ -368,7 +368,7 @@
                             FrameContent& aAnswer)
 {
   FrameContent question = aQuestion;
-  std::error_code error = co_await aLink.SendPages(aCall, std::move(question));
+  std::error_code error = co_await aLink.Send(aCall, std::move(question));
   if (error) {
     co_return error;
   }
@@ -381,8 +381,7 @@
     co_return ResultCode::MalformedFrame;
   }
   aAnswer = std::move(frame.m_content);
-  error = co_await aLink.ReceivePages(aCall, aAnswer, Duration::max());
-  co_return error;
+  co_return std::error_code();
 }
 
 } // namespace
--- a/src/peer/peer_server.cpp
+++ b/src/peer/peer_server.cpp
@@ -1,5 +1,4 @@
 // Accepting side: one coroutine for each link of another node.
-#include "keys/keys.h"
 #include "logging/logging.h"
 #include "peer/link.h"
 
@@ -117,10 +116,7 @@
   {
   }
 
-  std::vector<std::string> Requires() const override
-  {
-    return { "gateway", "key_service" };
-  }
+  std::vector<std::string> Requires() const override { return { "gateway" }; }
   asio::awaitable<void> Start(Kernel& aKernel) override;
   asio::awaitable<void> Stop() override;
 
@@ -130,8 +126,6 @@
   asio::awaitable<bool> ServeFrame(Link& aLink, PeerFrame& aFrame);
   asio::awaitable<bool> ServeCall(Link& aLink, const RequestHead& aHead);
   asio::awaitable<bool> ServeQuestion(Link& aLink, PeerFrame& aFrame);
-  std::optional<FrameContent> AnswerTo(const HelloFrame& aPeer,
-                                       const FrameContent& aQuestion);
   Duration AgeOf(const Link& aLink, Duration aStated) const;
   asio::awaitable<void> WatchLink(Link& aLink,
                                   const RequestHead& aHead,
@@ -151,8 +145,7 @@
   std::shared_ptr<Logger> m_logger;
   std::shared_ptr<CallHandler> m_gateway;
   std::shared_ptr<FateSource> m_fates;
-  std::shared_ptr<KeyPeer> m_keys;
-  std::shared_ptr<ConfigSource> m_config;
+  std::shared_ptr<OperatorStateSource> m_operators;
   std::unique_ptr<tcp::acceptor> m_acceptor;
   std::unique_ptr<Event> m_changed; // a link has ended
   std::set<std::shared_ptr<Link>> m_idle;
@@ -169,8 +162,7 @@
   m_logger = aKernel.Find<Logger>("logger");
   m_gateway = aKernel.Find<CallHandler>("gateway");
   m_fates = aKernel.Find<FateSource>("gateway");
-  m_keys = aKernel.Find<KeyPeer>("key_service");
-  m_config = aKernel.Find<ConfigSource>("config_source");
+  m_operators = aKernel.Find<OperatorStateSource>("operator_state");
   m_changed = std::make_unique<Event>(m_executor);
   const auto address = asio::ip::make_address(m_settings.m_listen.m_address);
   m_acceptor = std::make_unique<tcp::acceptor>(
@@ -271,65 +263,17 @@
 asio::awaitable<bool>
 PeerServerService::ServeQuestion(Link& aLink, PeerFrame& aFrame)
 {
-  std::error_code error = co_await aLink.ReceivePages(
-    aFrame.m_call, aFrame.m_content, m_settings.m_handshakeTimeout);
-  if (error) {
-    co_return false;
-  }
-  std::optional<FrameContent> answer = AnswerTo(aLink.m_peer, aFrame.m_content);
-  if (!answer) {
+  if (!std::holds_alternative<AskConfigFrame>(aFrame.m_content)) {
     m_logger->Write(LogLevel::Warning,
                     "peer_frame_unexpected",
                     { { "peer", aLink.m_peer.m_node.m_value } });
     co_return false;
   }
-  error = co_await aLink.SendPages(aFrame.m_call, std::move(*answer));
+  FrameContent answer = ConfigFrame{ m_operators->CurrentState() };
+  const auto error = co_await aLink.Send(aFrame.m_call, std::move(answer));
   co_return !error;
 }
 
-// nullopt when it is no question.
-std::optional<FrameContent>
-PeerServerService::AnswerTo(const HelloFrame& aPeer,
-                            const FrameContent& aQuestion)
-{
-  const NodeRef from{ aPeer.m_node, aPeer.m_incarnation };
-  if (const auto* claim = std::get_if<ClaimRequest>(&aQuestion)) {
-    return m_keys->OnClaim(*claim);
-  }
-  if (std::holds_alternative<SupportFrame>(aQuestion)) {
-    const auto views = m_keys->OnSupport(from);
-    SupportedFrame frame;
-    frame.m_confirmed = views.has_value();
-    frame.m_views = views.value_or(std::vector<ViewId>());
-    return frame;
-  }
-  if (const auto* collect = std::get_if<CollectFrame>(&aQuestion)) {
-    auto reply = m_keys->OnCollect(from, collect->m_view);
-    CollectedFrame frame;
-    frame.m_confirmed = reply.has_value();
-    if (reply) {
-      frame.m_records = std::move(reply->m_records);
-      frame.m_loss = reply->m_loss;
-    }
-    return frame;
-  }
-  if (const auto* extend = std::get_if<ExtendFrame>(&aQuestion)) {
-    m_keys->OnExtend(extend->m_key, extend->m_call);
-    return NotedFrame{};
-  }
-  if (const auto* release = std::get_if<ReleaseFrame>(&aQuestion)) {
-    m_keys->OnRelease(release->m_key, release->m_call);
-    return NotedFrame{};
-  }
-  if (std::holds_alternative<AskConfigFrame>(aQuestion)) {
-    return ConfigFrame{ m_config->CurrentConfig() };
-  }
-  if (const auto* import = std::get_if<ImportFrame>(&aQuestion)) {
-    return ImportedFrame{ m_keys->OnImport(import->m_records) };
-  }
-  return std::nullopt;
-}
-
 asio::awaitable<bool>
 PeerServerService::ServeCall(Link& aLink, const RequestHead& aHead)
 {
@@ -371,7 +315,14 @@
     if (aHead.m_idempotent) {
       co_return; // cancels the call
     }
-    // Work that must not repeat runs to its end, so that its fate is known.
+    // Work that must not repeat runs to its end, so that its fate is known; a
+    // call that still waits for a slot is withdrawn, because nobody is left to
+    // answer.
+    ResolveRequest withdrawal;
+    withdrawal.m_call = aHead.m_call;
+    withdrawal.m_incarnation = aHead.m_nodeIncarnation;
+    withdrawal.m_withdraw = true;
+    m_fates->Resolve(withdrawal);
     if (!aBody.IsComplete()) {
       aBody.Fail(make_error_code(ResultCode::CallerGone));
     }
--- a/src/retry/retry.cpp
+++ b/src/retry/retry.cpp
@@ -30,6 +30,8 @@
     case ResultCode::ZoneOut:
     case ResultCode::TargetLeaving:
     case ResultCode::TargetCold:
+    case ResultCode::WrongTarget:
+    case ResultCode::AnswerInvalid:
     case ResultCode::NodeStopping:
     case ResultCode::NotReady:
     case ResultCode::TargetFailed:
@@ -192,7 +194,10 @@
   if (aAttempt.m_marker == RetryMarker::Spent) {
     return Stop(RetryReason::Spent);
   }
-  if (aAttempt.m_dispatched >= m_settings.m_maxDispatched) {
+  const uint32_t most = aAttempt.m_maxDispatched > 0
+                          ? aAttempt.m_maxDispatched
+                          : m_settings.m_maxDispatched;
+  if (aAttempt.m_dispatched >= most) {
     return Stop(RetryReason::Attempts);
   }
   if (aAttempt.m_remaining < aAttempt.m_expected) {
--- a/src/retry/retry.h
+++ b/src/retry/retry.h
@@ -40,6 +40,7 @@
   Duration m_remaining{};       // caller's remaining time
   Duration m_expected{};        // time that a further attempt will take
   RetryMarker m_marker = RetryMarker::None; // from the previous layer
+  uint32_t m_maxDispatched = 0; // the request's own bound; 0: the settings'
 };
 
 // An attempt that is still running, for hedging.
--- /dev/null
+++ b/src/routes/routes.cpp
@@ -0,0 +1,115 @@
+// Matching of routes, weighted choice and the published state in force.
+#include "routes/routes.h"
+
+#include <algorithm>
+
+namespace sassafrasquay {
+
+void
+SortRoutes(RouteTable& aTable)
+{
+  for (auto& [host, routes] : aTable.m_hosts) {
+    std::stable_sort(routes.begin(),
+                     routes.end(),
+                     [](const Route& aLeft, const Route& aRight) {
+                       return aLeft.m_prefix.size() > aRight.m_prefix.size();
+                     });
+  }
+}
+
+const Route*
+FindRoute(const RouteTable& aTable,
+          std::string_view aHost,
+          std::string_view aPath)
+{
+  const std::string host(aHost.substr(0, aHost.find(':')));
+  const auto found = aTable.m_hosts.find(host);
+  if (found == aTable.m_hosts.end()) {
+    return nullptr;
+  }
+  const std::string_view path = aPath.substr(0, aPath.find('?'));
+  for (const Route& route : found->second) {
+    if (path.starts_with(route.m_prefix)) {
+      return &route;
+    }
+  }
+  return nullptr;
+}
+
+//-----------------------------------------------------------------------------
+// Weighted choice
+//-----------------------------------------------------------------------------
+
+// Smooth weighted round robin: each service earns its weight, and the one with
+// the most credit pays the sum of all weights for the request.
+const std::string&
+WeightedChoice::Choose(const Route& aRoute)
+{
+  const auto& services = aRoute.m_services;
+  if (services.size() == 1) {
+    return services.front().m_service;
+  }
+  Credits& credits = m_credits[aRoute.m_name];
+  std::erase_if(credits, [&services](const auto& aEntry) {
+    return std::none_of(
+      services.begin(), services.end(), [&aEntry](const auto& aService) {
+        return aService.m_service == aEntry.first;
+      });
+  });
+  double total = 0;
+  const WeightedService* best = nullptr;
+  for (const WeightedService& one : services) {
+    if (one.m_weight <= 0) {
+      continue;
+    }
+    total += one.m_weight;
+    double& credit = credits[one.m_service];
+    credit += one.m_weight;
+    if (best == nullptr || credit > credits[best->m_service]) {
+      best = &one;
+    }
+  }
+  if (best == nullptr) {
+    return services.front().m_service; // all weights are 0
+  }
+  credits[best->m_service] -= total;
+  return best->m_service;
+}
+
+//-----------------------------------------------------------------------------
+// OperatorStore
+//-----------------------------------------------------------------------------
+
+OfferResult
+OperatorStore::Offer(OperatorState aState)
+{
+  if (aState.m_position <= m_state.m_position) {
+    return OfferResult::Older;
+  }
+  if (aState.m_routes == m_state.m_routes) {
+    m_state = std::move(aState);
+    return OfferResult::Applied;
+  }
+  std::string fault;
+  auto table = m_documents.Decode(aState.m_routes, fault);
+  const bool older =
+    table && m_routes && table->m_version < m_routes->m_version;
+  if (older) {
+    fault = "version " + std::to_string(table->m_version) +
+            " is older than the one in force";
+  }
+  if (!table || older) {
+    // The zones count in any case: they are documents of their own.
+    aState.m_routes = m_state.m_routes;
+    m_state = std::move(aState);
+    m_fault = std::move(fault);
+    return OfferResult::Faulty;
+  }
+  SortRoutes(*table);
+  m_routes = std::make_shared<const RouteTable>(std::move(*table));
+  m_state = std::move(aState);
+  m_fault.clear();
+  return OfferResult::Applied;
+}
+
+} // namespace sassafrasquay
--- /dev/null
+++ b/src/targets/target_reports.cpp
@@ -0,0 +1,53 @@
+// Order of the reports about the target beside a node.
+#include "targets/target_reports.h"
+
+namespace sassafrasquay {
+
+namespace {
+
+bool
+IsSameProcess(const TargetReport& aLeft, const TargetReport& aRight)
+{
+  return aLeft.m_id == aRight.m_id && aLeft.m_born == aRight.m_born;
+}
+
+} // namespace
+
+ReportVerdict
+TargetReports::OnReport(const TargetReport& aReport)
+{
+  const bool foreign = (!m_service.empty() && aReport.m_service != m_service) ||
+                       (m_address && aReport.m_address != *m_address);
+  if (foreign) {
+    return ReportVerdict::Foreign;
+  }
+  if (m_left &&
+      (IsSameProcess(*m_left, aReport) || aReport.m_born < m_left->m_born)) {
+    return ReportVerdict::Stale;
+  }
+  if (m_last && IsSameProcess(*m_last, aReport)) {
+    if (aReport.m_sequence <= m_last->m_sequence) {
+      return ReportVerdict::Stale;
+    }
+    m_last = aReport;
+    return ReportVerdict::Current;
+  }
+  if (m_last && aReport.m_born < m_last->m_born) {
+    return ReportVerdict::Stale;
+  }
+  m_last = aReport;
+  return ReportVerdict::NewTarget;
+}
+
+bool
+TargetReports::OnLeave(std::string_view aId)
+{
+  if (!m_last || m_last->m_id != aId) {
+    return false;
+  }
+  m_left = std::move(m_last);
+  m_last.reset();
+  return true;
+}
+
+} // namespace sassafrasquay
--- /dev/null
+++ b/src/targets/target_reports.h
@@ -0,0 +1,72 @@
+// Which of the reports that arrive about the target beside a node counts: they
+// may be late, repeated, from an earlier process or from another writer.
+//
+// Pure decision code.
+//
+// Index of this file
+//   [1] Reports
+//   [2] TargetReports: the target that counts
+#pragma once
+
+#include "core/core.h"
+
+#include <optional>
+
+namespace sassafrasquay {
+
+//-----------------------------------------------------------------------------
+// [1] Reports
+//-----------------------------------------------------------------------------
+
+// What a target says about itself at one moment.
+struct TargetReport
+{
+  std::string m_id;        // may be used again by a later process
+  WallTime m_born{};       // start of the process; the epoch: not stated
+  uint64_t m_sequence = 0; // rises with each report of one process
+  std::string m_service;
+  Endpoint m_address;
+  uint32_t m_slots = 0;
+  bool m_draining = false;
+  Duration m_coldLeft{}; // zero: warm
+
+  bool operator==(const TargetReport&) const = default;
+};
+
+//-----------------------------------------------------------------------------
+// [2] TargetReports
+//-----------------------------------------------------------------------------
+
+enum class ReportVerdict : uint8_t
+{
+  Foreign,  // not about the target beside this node
+  Stale,    // late, or of an earlier process
+  Current,  // newer word of the known process
+  NewTarget // another process has taken the place
+};
+
+class TargetReports
+{
+public:
+  // The target beside this node; an empty service or address matches any.
+  TargetReports(std::string aService, std::optional<Endpoint> aAddress)
+    : m_service(std::move(aService))
+    , m_address(std::move(aAddress))
+  {
+  }
+
+  ReportVerdict OnReport(const TargetReport& aReport);
+  // The target says that it ends. False when it is not the known one.
+  bool OnLeave(std::string_view aId);
+
+  // The last report that counted; none before the first and after OnLeave.
+  const std::optional<TargetReport>& Last() const { return m_last; }
+
+private:
+  std::string m_service;
+  std::optional<Endpoint> m_address;
+  std::optional<TargetReport> m_last;
+  std::optional<TargetReport> m_left; // the last one that said it ends
+};
+
+} // namespace sassafrasquay
--- a/src/upstream/gateway.cpp
+++ b/src/upstream/gateway.cpp
@@ -51,8 +51,6 @@
   {
   }
 
-  // The claims are handed over after the last call has ended.
-  std::vector<std::string> Requires() const override { return { "handover" }; }
   asio::awaitable<void> Start(Kernel& aKernel) override;
   asio::awaitable<void> Stop() override;
 
@@ -63,12 +61,17 @@
 
   std::error_code Announce(const TargetAnnouncement& aTarget) override;
   void Drain() override;
+  void Lose() override;
   void TurnCold() override;
+  void StateCold(Duration aLeft) override;
+  void SetTraits(const ServiceTraits& aTraits) override;
   void ReportLoad(uint32_t aInUse, uint32_t aQueued) override;
   std::optional<TargetAnnouncement> Target() const override { return m_target; }
   LoadReport Load() const override
   {
-    return m_admission->Report(m_clock->Now());
+    LoadReport report = m_admission->Report(m_clock->Now());
+    report.m_slowness = m_slowness;
+    return report;
   }
   Event& Changed() override { return *m_changed; }
 
@@ -84,6 +87,8 @@
   CallResult Unproven(const BeginResult& aBegin) const;
   asio::awaitable<void> CheckTargetAlive(uint64_t aIncarnation);
   void RecordCrash();
+  void TakeLoad(const std::optional<TargetLoad>& aLoad);
+  asio::awaitable<void> RunProbes();
   void ArmTick();
   void Deliver(const std::vector<AdmissionEvent>& aEvents);
   void LogPlacement(const RequestHead& aHead, const AdmissionResult& aResult);
@@ -96,7 +101,6 @@
   std::shared_ptr<Admission> m_admission;
   std::shared_ptr<CallLedger> m_ledger;
   std::shared_ptr<Quarantine> m_quarantine;
-  std::shared_ptr<KeyClaimCheck> m_claims; // may be empty
   MetricCounter* m_crashes = nullptr;
   std::unique_ptr<TargetClient> m_client;
   std::optional<TargetAnnouncement> m_target;
@@ -105,6 +109,8 @@
   TimePoint m_armed = TimePoint::max(); // when the tick coroutine wakes
   std::unique_ptr<Event> m_changed;     // the target's state
   std::unique_ptr<Event> m_queued;      // a tick may be due earlier than before
+  ServiceTraits m_traits;
+  uint32_t m_slowness = 100; // as the target last stated it
   uint32_t m_calls = 0;
   bool m_stopping = false;
 };
@@ -149,7 +155,7 @@
 private:
   void EndRecords(TimePoint aNow)
   {
-    m_gateway.m_ledger->Finish(m_call, m_fate, std::nullopt, aNow);
+    m_gateway.m_ledger->Finish(m_call, m_fate, aNow);
     // A crash has already ended the records of what ran at the time.
     if (m_gateway.m_running.erase(m_call) > 0) {
       const bool completed = m_fate == CallEnd::Answered;
@@ -181,15 +187,20 @@
   m_admission = aKernel.Find<Admission>("admission");
   m_ledger = aKernel.Find<CallLedger>("ledger");
   m_quarantine = aKernel.Find<Quarantine>("quarantine");
-  m_claims = aKernel.Find<KeyClaimCheck>("claim_check");
   m_crashes = &aKernel.Find<Metrics>("metrics")->Counter(
     "sassafrasquay_target_crashes_total",
     "Crashes of the own target seen while requests ran.",
     {});
-  m_client = MakeTargetClient(m_settings, m_executor, m_clock);
+  m_client = MakeTargetClient(m_settings,
+                              m_executor,
+                              m_clock,
+                              aKernel.Find<TargetDialect>("target_dialect"));
   m_changed = std::make_unique<Event>(m_executor);
   m_queued = std::make_unique<Event>(m_executor);
   asio::co_spawn(m_executor, RunTicks(), asio::detached);
+  if (m_settings.m_probeInterval > Duration::zero()) {
+    asio::co_spawn(m_executor, RunProbes(), asio::detached);
+  }
   co_return;
 }
 
@@ -249,20 +260,22 @@
   call.m_call = aHead.m_call;
   call.m_incarnation = aHead.m_nodeIncarnation;
   call.m_idempotent = aHead.m_idempotent;
-  call.m_digest = aHead.m_digest;
   call.m_age = aHead.m_age;
   call.m_deadline = aDeadline;
-  if (!aHead.m_key.empty() && !aHead.m_idempotent) {
-    call.m_key = m_claims->KeyIdOf(aHead);
-    call.m_ownerAccepted = m_claims->Accepts(aHead);
-  }
   return m_ledger->Begin(call, m_clock->Now());
 }
 
 asio::awaitable<AdmissionResult>
 Gateway::Admit(const RequestHead& aHead, TimePoint aDeadline)
 {
-  const AdmissionRequest request{ aHead.m_call, aDeadline, aHead.m_priority };
+  AdmissionRequest request;
+  request.m_call = aHead.m_call;
+  request.m_deadline = aDeadline;
+  request.m_priority = aHead.m_priority;
+  request.m_class = aHead.m_routeClass;
+  if (aHead.m_goal > Duration::zero()) {
+    request.m_goal = m_clock->Now() + aHead.m_goal;
+  }
   AdmissionResult result = m_admission->Offer(request, m_clock->Now());
   LogPlacement(aHead, result);
   if (result.m_verdict != AdmissionVerdict::Queued) {
@@ -385,16 +398,18 @@
   if (!aHead.m_body) {
     co_await aAnswer.Admitted(); // the body may follow
   }
-  const Endpoint target = m_target->m_address;
-  const uint64_t incarnation = m_target->m_incarnation;
+  const TargetAnnouncement target = *m_target;
   const bool keepReading = !aHead.m_idempotent;
   const std::function<void()> answerBegan = [&call]() { call.AnswerBegan(); };
   const TargetResult sent = co_await m_client->Send(
     target, aHead, aBody, aAnswer, deadline, keepReading, answerBegan);
   call.m_end = sent.m_end;
   call.m_fate = FateOf(sent);
-  if (sent.m_end == ServiceEnd::Broken) {
-    co_await CheckTargetAlive(incarnation);
+  TakeLoad(sent.m_load);
+  if (sent.m_code == ResultCode::WrongTarget && m_target == target) {
+    Lose(); // until the one that has the address now reports
+  } else if (sent.m_end == ServiceEnd::Broken) {
+    co_await CheckTargetAlive(target.m_incarnation);
   }
   CallResult result;
   result.m_code = sent.m_code;
@@ -464,7 +479,8 @@
   m_logger->Write(
     LogLevel::Info,
     "placement",
-    { { "call", ToString(aHead.m_call) },
+    { { "id", aHead.m_requestId },
+      { "call", ToString(aHead.m_call) },
       { "service", aHead.m_service },
       { "verdict", kVerdicts[static_cast<size_t>(aResult.m_verdict)] },
       { "reason", refused ? RowOf(aResult.m_code).m_name : "capacity" },
@@ -526,6 +542,72 @@
   m_changed->Notify();
 }
 
+void
+Gateway::Lose()
+{
+  if (!m_target) {
+    return;
+  }
+  m_logger->Write(LogLevel::Warning,
+                  "target_lost",
+                  { { "target", m_target->m_id },
+                    { "incarnation", m_target->m_incarnation } });
+  m_target.reset();
+  m_admission->ClearTarget(m_clock->Now());
+  ArmTick();
+  m_changed->Notify();
+}
+
+void
+Gateway::StateCold(Duration aLeft)
+{
+  const bool before = m_admission->Report(m_clock->Now()).m_cold;
+  m_admission->SetColdFor(aLeft, m_clock->Now());
+  ArmTick();
+  if (before != (aLeft > Duration::zero())) {
+    m_logger->Write(LogLevel::Info, "target_cold", { { "left_ms", aLeft } });
+    m_changed->Notify();
+  }
+}
+
+void
+Gateway::SetTraits(const ServiceTraits& aTraits)
+{
+  m_traits = aTraits;
+  m_admission->SetColdRate(aTraits.m_coldPerSecond);
+}
+
+void
+Gateway::TakeLoad(const std::optional<TargetLoad>& aLoad)
+{
+  if (aLoad) {
+    m_slowness = std::max(1U, aLoad->m_slowness);
+    m_admission->SetSlowness(m_slowness);
+  }
+}
+
+// Keeps the target's own statement about its load fresh.
+asio::awaitable<void>
+Gateway::RunProbes()
+{
+  asio::steady_timer timer(m_executor);
+  while (!m_stopping) {
+    timer.expires_after(m_settings.m_probeInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+    if (!m_target || m_traits.m_healthPath.empty()) {
+      continue;
+    }
+    const TargetAnnouncement target = *m_target;
+    const std::optional<HealthFacts> health =
+      co_await m_client->Probe(target.m_address, m_traits.m_healthPath);
+    const bool same = health && m_target == target &&
+                      (health->m_id.empty() || health->m_id == target.m_id);
+    if (same) {
+      TakeLoad(health->m_load);
+    }
+  }
+}
+
 void
 Gateway::TurnCold()
 {
--- a/src/upstream/target_client.cpp
+++ b/src/upstream/target_client.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <sys/socket.h>
 
 namespace sassafrasquay {
@@ -20,13 +21,23 @@
 namespace {
 
 constexpr size_t kPartBytes = 32 * 1024;
+// Answers up to this size are read whole before any of it is passed on, so that
+// a broken one can still be replaced.
+constexpr size_t kWholeAnswerBytes = 64 * 1024;
+// Late answers to earlier requests that are skipped on one connection.
+constexpr int kMaxSkipped = 4;
+// A target may close an idle connection at any moment after the time that it
+// states; a request must not cross that close.
+constexpr Duration kIdleMargin = std::chrono::milliseconds(1500);
+// The statement has whole seconds, so without it the time may be below one.
+constexpr Duration kUnstatedIdle = std::chrono::milliseconds(100);
 
 // One keep-alive connection to the target.
 struct Connection
 {
   beast::tcp_stream m_stream;
   beast::flat_buffer m_buffer;
-  TimePoint m_since; // idle since
+  TimePoint m_expires; // idle; not to be used after this
 
   explicit Connection(const asio::any_io_executor& aExecutor)
     : m_stream(aExecutor)
@@ -61,6 +72,7 @@
                 BodySource& aBody,
                 AnswerSink& aAnswer,
                 const UpstreamSettings& aSettings,
+                const TargetDialect& aDialect,
                 bool aKeepReading,
                 const std::function<void()>& aAnswerBegan)
     : m_connection(aConnection)
@@ -68,23 +80,30 @@
     , m_body(aBody)
     , m_answer(aAnswer)
     , m_settings(aSettings)
+    , m_dialect(aDialect)
     , m_keepReading(aKeepReading)
     , m_answerBegan(aAnswerBegan)
   {
     ResetParser();
   }
 
-  asio::awaitable<TargetResult> Run(Duration aRemaining);
+  asio::awaitable<TargetResult> Run(const std::string& aTargetId,
+                                    Duration aRemaining);
   bool CanReuse() const { return m_reusable; }
+  Duration IdleTime() const { return m_idleTime; }
 
 private:
   void ResetParser();
-  void BuildRequest(Duration aRemaining);
+  void BuildRequest(const std::string& aTargetId, Duration aRemaining);
   asio::awaitable<boost::system::error_code> WriteWhole();
   asio::awaitable<ResultCode> WriteStreamed();
   asio::awaitable<boost::system::error_code> ReadHead();
   asio::awaitable<TargetResult> PassAnswer();
+  asio::awaitable<boost::system::error_code> SkipBody();
   asio::awaitable<bool> PassBody();
+  asio::awaitable<bool> PassPart(std::string_view aBytes, bool aLast);
+  TargetResult NotRun(ResultCode aCode);
+  void NoteIdleTime();
   AnswerHead MakeAnswerHead() const;
   TargetResult Fail(const boost::system::error_code& aError) const;
 
@@ -93,11 +112,16 @@
   BodySource& m_body;
   AnswerSink& m_answer;
   const UpstreamSettings& m_settings;
+  const TargetDialect& m_dialect;
   bool m_keepReading;
   const std::function<void()>& m_answerBegan;
   http::request<http::buffer_body> m_request;
   std::optional<http::response_parser<http::buffer_body>> m_parser;
   TargetResult m_result;
+  AnswerHead m_answerHead;
+  AnswerFacts m_facts;
+  std::string m_held; // answer bytes that wait for the rest
+  Duration m_idleTime = kUnstatedIdle;
   bool m_sinkFailed = false;
   bool m_bodySent = false;
   bool m_reusable = false;
@@ -113,19 +137,16 @@
 }
 
 void
-TargetRequest::BuildRequest(Duration aRemaining)
+TargetRequest::BuildRequest(const std::string& aTargetId, Duration aRemaining)
 {
   m_request.version(11);
   m_request.method_string(m_head.m_method);
   m_request.target(m_head.m_path);
-  for (const HeaderField& field : m_head.m_headers) {
+  std::vector<HeaderField> fields = m_head.m_headers;
+  m_dialect.AddFields(m_head, aTargetId, aRemaining, fields);
+  for (const HeaderField& field : fields) {
     m_request.insert(field.m_name, field.m_value);
   }
-  m_request.set(kRequestIdHeader, ToString(m_head.m_call));
-  m_request.set(kTimeoutHeader, FormatMilliseconds(aRemaining));
-  if (m_head.m_retrySpent) {
-    m_request.set(kRetryHeader, "spent");
-  }
   if (m_head.m_body) {
     const bool mayHaveBody =
       m_head.m_method != "GET" && m_head.m_method != "HEAD";
@@ -189,22 +210,55 @@
   co_return ResultCode::Ok;
 }
 
+// Reads heads until one belongs to this request.
 asio::awaitable<boost::system::error_code>
 TargetRequest::ReadHead()
 {
   boost::system::error_code error;
+  int skipped = 0;
   while (true) {
     co_await http::async_read_header(
       m_connection.m_stream, m_connection.m_buffer, *m_parser, Redirect(error));
-    const bool interim =
-      !error && m_parser->get().result_int() < 200; // 100 or 103
-    if (!interim) {
+    if (error) {
+      co_return error;
+    }
+    if (m_parser->get().result_int() < 200) { // 100 or 103
+      ResetParser();
+      continue;
+    }
+    m_answerHead = MakeAnswerHead();
+    m_facts = m_dialect.ReadAnswer(m_head, m_answerHead);
+    if (m_facts.m_kind != AnswerKind::OtherRequest || skipped == kMaxSkipped) {
+      co_return error;
+    }
+    ++skipped;
+    error = co_await SkipBody();
+    if (error) {
       co_return error;
     }
     ResetParser();
   }
 }
 
+asio::awaitable<boost::system::error_code>
+TargetRequest::SkipBody()
+{
+  std::array<char, kPartBytes> bytes;
+  boost::system::error_code error;
+  while (!m_parser->is_done()) {
+    auto& body = m_parser->get().body();
+    body.data = bytes.data();
+    body.size = bytes.size();
+    body.more = true;
+    co_await http::async_read_some(
+      m_connection.m_stream, m_connection.m_buffer, *m_parser, Redirect(error));
+    if (error && error != http::error::need_buffer) {
+      co_return error;
+    }
+  }
+  co_return boost::system::error_code();
+}
+
 TargetResult
 TargetRequest::Fail(const boost::system::error_code& aError) const
 {
@@ -225,10 +279,10 @@
 }
 
 asio::awaitable<TargetResult>
-TargetRequest::Run(Duration aRemaining)
+TargetRequest::Run(const std::string& aTargetId, Duration aRemaining)
 {
   using namespace asio::experimental::awaitable_operators;
-  BuildRequest(aRemaining);
+  BuildRequest(aTargetId, aRemaining);
   m_connection.m_stream.expires_after(aRemaining);
   boost::system::error_code error;
   if (m_head.m_body) {
@@ -268,21 +322,58 @@
   return head;
 }
 
+TargetResult
+TargetRequest::NotRun(ResultCode aCode)
+{
+  m_result.m_end = ServiceEnd::Shed;
+  m_result.m_code = aCode;
+  m_result.m_run = Run::No;
+  return m_result;
+}
+
+// The target keeps an idle connection open for the time in its Keep-Alive.
+void
+TargetRequest::NoteIdleTime()
+{
+  const std::string_view value = m_parser->get()[http::field::keep_alive];
+  static constexpr std::string_view kTimeout = "timeout=";
+  const size_t at = value.find(kTimeout);
+  if (at == std::string_view::npos) {
+    return;
+  }
+  const std::string_view digits = value.substr(at + kTimeout.size());
+  uint32_t seconds = 0;
+  const auto parsed =
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (parsed.ec == std::errc()) {
+    m_idleTime = std::chrono::seconds(seconds) - kIdleMargin;
+  }
+}
+
 asio::awaitable<TargetResult>
 TargetRequest::PassAnswer()
 {
   m_answerBegan();
-  const auto& message = m_parser->get();
-  m_result.m_status = static_cast<uint16_t>(message.result_int());
-  if (m_result.m_status == 503 && message.find(kShedHeader) != message.end()) {
-    // The target states that it did not run the request.
-    m_result.m_end = ServiceEnd::Shed;
-    m_result.m_code = ResultCode::TargetShed;
-    m_result.m_run = Run::No;
-    co_return m_result;
+  NoteIdleTime();
+  m_result.m_status = m_answerHead.m_status;
+  m_result.m_load = m_facts.m_load;
+  switch (m_facts.m_kind) {
+    case AnswerKind::Own:
+      break;
+    case AnswerKind::NotRun: {
+      const boost::system::error_code error = co_await SkipBody();
+      m_reusable = !error && m_parser->keep_alive();
+      co_return NotRun(ResultCode::TargetShed);
+    }
+    case AnswerKind::WrongTarget:
+      co_return NotRun(ResultCode::WrongTarget);
+    case AnswerKind::OtherRequest:
+    case AnswerKind::Invalid:
+      m_result.m_end = ServiceEnd::Broken;
+      m_result.m_code = ResultCode::AnswerInvalid;
+      m_result.m_run = Run::Maybe;
+      co_return m_result;
   }
-  m_result.m_answerStarted = true;
-  m_sinkFailed = static_cast<bool>(co_await m_answer.Head(MakeAnswerHead()));
   const bool whole = co_await PassBody();
   if (!whole) {
     m_result.m_end = ServiceEnd::Broken;
@@ -300,6 +391,31 @@
   co_return m_result;
 }
 
+// Passes a part of the answer on, or holds it until the answer is whole or too
+// large to be held. False when the sink failed.
+asio::awaitable<bool>
+TargetRequest::PassPart(std::string_view aBytes, bool aLast)
+{
+  if (!m_result.m_answerStarted) {
+    m_held += aBytes;
+    if (!aLast && m_held.size() < kWholeAnswerBytes) {
+      co_return true;
+    }
+    if (aLast && !m_answerHead.m_bodyLength && m_answerHead.m_hasBody) {
+      m_answerHead.m_bodyLength = m_held.size();
+    }
+    m_result.m_answerStarted = true;
+    const std::error_code error = co_await m_answer.Head(m_answerHead);
+    if (error) {
+      co_return false;
+    }
+    const std::error_code failed = co_await m_answer.Body(m_held, aLast);
+    co_return !failed;
+  }
+  const std::error_code failed = co_await m_answer.Body(aBytes, aLast);
+  co_return !failed;
+}
+
 // False when the answer ended early, or the sink failed and nobody needs it.
 asio::awaitable<bool>
 TargetRequest::PassBody()
@@ -313,7 +429,6 @@
       body.data = bytes.data();
       body.size = bytes.size();
       body.more = true;
-      m_connection.m_stream.expires_after(m_settings.m_bodyIdle);
       co_await http::async_read_some(m_connection.m_stream,
                                      m_connection.m_buffer,
                                      *m_parser,
@@ -325,8 +440,9 @@
     }
     const bool last = m_parser->is_done();
     if (!m_sinkFailed && (count > 0 || last)) {
-      const std::string_view part(bytes.data(), count);
-      m_sinkFailed = static_cast<bool>(co_await m_answer.Body(part, last));
+      const bool passed =
+        co_await PassPart(std::string_view(bytes.data(), count), last);
+      m_sinkFailed = !passed;
     }
     if (last) {
       co_return true;
@@ -334,6 +450,9 @@
     if (m_sinkFailed && !m_keepReading) {
       co_return false;
     }
+    if (m_result.m_answerStarted) {
+      m_connection.m_stream.expires_after(m_settings.m_bodyIdle);
+    }
   }
 }
 
@@ -342,15 +461,17 @@
 public:
   PooledTargetClient(UpstreamSettings aSettings,
                      asio::any_io_executor aExecutor,
-                     std::shared_ptr<Clock> aClock)
+                     std::shared_ptr<Clock> aClock,
+                     std::shared_ptr<TargetDialect> aDialect)
     : m_settings(std::move(aSettings))
     , m_executor(std::move(aExecutor))
     , m_clock(std::move(aClock))
+    , m_dialect(std::move(aDialect))
   {
   }
 
   asio::awaitable<TargetResult> Send(
-    const Endpoint& aTarget,
+    const TargetAnnouncement& aTarget,
     const RequestHead& aHead,
     BodySource& aBody,
     AnswerSink& aAnswer,
@@ -358,6 +479,8 @@
     bool aKeepReading,
     const std::function<void()>& aAnswerBegan) override;
   asio::awaitable<void> Cancel(Endpoint aTarget, CallId aCall) override;
+  asio::awaitable<std::optional<HealthFacts>> Probe(Endpoint aTarget,
+                                                    std::string aPath) override;
   asio::awaitable<bool> Accepts(Endpoint aTarget) override
   {
     const ConnectionPtr connection = co_await Open(aTarget);
@@ -372,8 +495,11 @@
   UpstreamSettings m_settings;
   asio::any_io_executor m_executor;
   std::shared_ptr<Clock> m_clock;
+  std::shared_ptr<TargetDialect> m_dialect;
   Endpoint m_idleTarget; // address that the idle connections lead to
   std::vector<ConnectionPtr> m_idle;
+  Endpoint m_probeTarget;
+  ConnectionPtr m_probeConnection; // idle between two probes
 };
 
 ConnectionPtr
@@ -383,11 +509,11 @@
     m_idle.clear();
     m_idleTarget = aTarget;
   }
-  const TimePoint oldest = m_clock->Now() - m_settings.m_idleConnection;
+  const TimePoint now = m_clock->Now();
   while (!m_idle.empty()) {
     ConnectionPtr connection = std::move(m_idle.back());
     m_idle.pop_back();
-    if (connection->m_since >= oldest && connection->IsUsable()) {
+    if (now < connection->m_expires && connection->IsUsable()) {
       return connection;
     }
   }
@@ -414,7 +540,7 @@
 }
 
 asio::awaitable<TargetResult>
-PooledTargetClient::Send(const Endpoint& aTarget,
+PooledTargetClient::Send(const TargetAnnouncement& aTarget,
                          const RequestHead& aHead,
                          BodySource& aBody,
                          AnswerSink& aAnswer,
@@ -422,9 +548,11 @@
                          bool aKeepReading,
                          const std::function<void()>& aAnswerBegan)
 {
-  ConnectionPtr connection = TakeIdle(aTarget);
+  const Endpoint address = aTarget.m_address;
+  const std::string id = aTarget.m_id;
+  ConnectionPtr connection = TakeIdle(address);
   if (!connection) {
-    connection = co_await Open(aTarget);
+    connection = co_await Open(address);
   }
   TargetResult result;
   if (!connection) {
@@ -439,11 +567,21 @@
     result.m_run = Run::No;
     co_return result;
   }
-  TargetRequest request(
-    *connection, aHead, aBody, aAnswer, m_settings, aKeepReading, aAnswerBegan);
-  result = co_await request.Run(remaining);
-  if (request.CanReuse() && m_idle.size() < m_settings.m_maxIdle) {
-    connection->m_since = m_clock->Now();
+  TargetRequest request(*connection,
+                        aHead,
+                        aBody,
+                        aAnswer,
+                        m_settings,
+                        *m_dialect,
+                        aKeepReading,
+                        aAnswerBegan);
+  result = co_await request.Run(id, remaining);
+  const bool keeps = request.CanReuse() && m_idleTarget == address &&
+                     m_idle.size() < m_settings.m_maxIdle;
+  if (keeps) {
+    const Duration idle =
+      std::min(request.IdleTime(), m_settings.m_idleConnection);
+    connection->m_expires = m_clock->Now() + idle;
     connection->m_stream.expires_never();
     m_idle.push_back(std::move(connection));
   }
@@ -453,12 +591,15 @@
 asio::awaitable<void>
 PooledTargetClient::Cancel(Endpoint aTarget, CallId aCall)
 {
+  const std::string path = m_dialect->CancelPath(aCall);
+  if (path.empty()) {
+    co_return;
+  }
   const ConnectionPtr connection = co_await Open(aTarget);
   if (!connection) {
     co_return;
   }
-  http::request<http::empty_body> request(
-    http::verb::post, "/sassafrasquay/cancel/" + ToString(aCall), 11);
+  http::request<http::empty_body> request(http::verb::post, path, 11);
   request.set(http::field::host, ToString(aTarget));
   request.prepare_payload();
   boost::system::error_code error;
@@ -471,15 +612,56 @@
   }
 }
 
+asio::awaitable<std::optional<HealthFacts>>
+PooledTargetClient::Probe(Endpoint aTarget, std::string aPath)
+{
+  ConnectionPtr connection = std::move(m_probeConnection);
+  const bool reused = connection && m_probeTarget == aTarget &&
+                      m_clock->Now() < connection->m_expires &&
+                      connection->IsUsable();
+  if (!reused) {
+    connection = co_await Open(aTarget);
+  }
+  if (!connection) {
+    co_return std::nullopt;
+  }
+  http::request<http::empty_body> request(http::verb::get, aPath, 11);
+  request.set(http::field::host, ToString(aTarget));
+  boost::system::error_code error;
+  connection->m_stream.expires_after(m_settings.m_probeTimeout);
+  co_await http::async_write(connection->m_stream, request, Redirect(error));
+  http::response<http::string_body> response;
+  if (!error) {
+    co_await http::async_read(
+      connection->m_stream, connection->m_buffer, response, Redirect(error));
+  }
+  if (error) {
+    co_return std::nullopt;
+  }
+  AnswerHead head;
+  head.m_status = static_cast<uint16_t>(response.result_int());
+  head.m_headers = EndToEndFields(response);
+  if (response.keep_alive()) {
+    connection->m_stream.expires_never();
+    connection->m_expires = m_clock->Now() + m_settings.m_probeIdle;
+    m_probeConnection = std::move(connection);
+    m_probeTarget = aTarget;
+  }
+  co_return m_dialect->ReadHealth(head);
+}
+
 } // namespace
 
 std::unique_ptr<TargetClient>
 MakeTargetClient(UpstreamSettings aSettings,
                  asio::any_io_executor aExecutor,
-                 std::shared_ptr<Clock> aClock)
+                 std::shared_ptr<Clock> aClock,
+                 std::shared_ptr<TargetDialect> aDialect)
 {
-  return std::make_unique<PooledTargetClient>(
-    std::move(aSettings), std::move(aExecutor), std::move(aClock));
+  return std::make_unique<PooledTargetClient>(std::move(aSettings),
+                                              std::move(aExecutor),
+                                              std::move(aClock),
+                                              std::move(aDialect));
 }
 
 } // namespace sassafrasquay
--- a/src/upstream/target_client.h
+++ b/src/upstream/target_client.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "admission/admission.h"
+#include "dialect/dialect.h"
 #include "upstream/upstream.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -17,6 +18,7 @@
   bool m_answerStarted = false;
   bool m_bodyUsed = false;
   uint16_t m_status = 0;
+  std::optional<TargetLoad> m_load; // as the target states it on its answer
 };
 
 class TargetClient
@@ -27,7 +29,7 @@
   // the arrival of the answer's head. aKeepReading: reads the answer to its
   // end even when the sink fails, so that the outcome is known.
   virtual asio::awaitable<TargetResult> Send(
-    const Endpoint& aTarget,
+    const TargetAnnouncement& aTarget,
     const RequestHead& aHead,
     BodySource& aBody,
     AnswerSink& aAnswer,
@@ -36,6 +38,10 @@
     const std::function<void()>& aAnswerBegan) = 0;
   // Tells the target to cancel; failures are ignored.
   virtual asio::awaitable<void> Cancel(Endpoint aTarget, CallId aCall) = 0;
+  // Asks the target for its health; nullopt without an answer in time.
+  virtual asio::awaitable<std::optional<HealthFacts>> Probe(
+    Endpoint aTarget,
+    std::string aPath) = 0;
   // Whether the target accepts a new connection.
   virtual asio::awaitable<bool> Accepts(Endpoint aTarget) = 0;
   virtual void CloseIdle() = 0;
@@ -44,6 +50,7 @@
 std::unique_ptr<TargetClient>
 MakeTargetClient(UpstreamSettings aSettings,
                  asio::any_io_executor aExecutor,
-                 std::shared_ptr<Clock> aClock);
+                 std::shared_ptr<Clock> aClock,
+                 std::shared_ptr<TargetDialect> aDialect);
 
 } // namespace sassafrasquay
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -3,12 +3,12 @@
 // Index of this file
 //   [1] What the target says about itself
 //   [2] Target control interface
-//   [3] Claims of idempotency keys
-//   [4] Settings and factory
+//   [3] Settings and factory
 #pragma once
 
 #include "call/call.h"
 #include "kernel/kernel.h"
+#include "routes/routes.h"
 
 namespace sassafrasquay {
 
@@ -18,6 +18,7 @@
 
 struct TargetAnnouncement
 {
+  std::string m_id; // of the target's process; may be empty
   std::string m_service;
   uint32_t m_slots = 0;       // requests that it can work on at once
   Endpoint m_address;         // where it takes requests
@@ -37,7 +38,13 @@
   // same incarnation changes nothing.
   virtual std::error_code Announce(const TargetAnnouncement& aTarget) = 0;
   virtual void Drain() = 0;
+  // The target has ended or ends without having drained.
+  virtual void Lose() = 0;
   virtual void TurnCold() = 0;
+  // The target states how long its cold start still lasts; zero: it is warm.
+  virtual void StateCold(Duration aLeft) = 0;
+  // What the configuration says about targets of this service.
+  virtual void SetTraits(const ServiceTraits& aTraits) = 0;
   // Load as the target counts it; it lags, so it is only a hint.
   virtual void ReportLoad(uint32_t aInUse, uint32_t aQueued) = 0;
   // Empty before the first announcement.
@@ -48,20 +55,7 @@
 };
 
 //-----------------------------------------------------------------------------
-// [3] Claims of idempotency keys
-//-----------------------------------------------------------------------------
-
-// What the gateway asks about the key of a call before it is dispatched.
-class KeyClaimCheck : public virtual Component
-{
-public:
-  virtual KeyId KeyIdOf(const RequestHead& aHead) const = 0;
-  // Whether the node that granted the claim may own the key.
-  virtual bool Accepts(const RequestHead& aHead) const = 0;
-};
-
-//-----------------------------------------------------------------------------
-// [4] Settings and factory
+// [3] Settings and factory
 //-----------------------------------------------------------------------------
 
 struct UpstreamSettings
@@ -72,13 +66,18 @@
   Duration m_bodyIdle{ std::chrono::seconds(30) };       // between answer parts
   Duration m_idleConnection{ std::chrono::seconds(20) }; // pooled
   Duration m_cancelTimeout{ std::chrono::seconds(1) };
+  // Between two questions for the target's load, when it has a health path;
+  // zero: none are asked. The answers to calls carry the load as well, but too
+  // seldom for spells of slowness that last 100 ms or so.
+  Duration m_probeInterval{};
+  Duration m_probeTimeout{ std::chrono::milliseconds(500) };
+  Duration m_probeIdle{ std::chrono::milliseconds(700) }; // connection kept
   size_t m_maxIdle = 64;
   uint32_t m_maxHeadBytes = 64 * 1024; // of an answer
 };
 
 // The service "gateway": CallHandler, FateSource and TargetControl.
-// Finds "admission", "ledger", "quarantine" and "claim_check"; requires
-// "handover", which therefore stops after the last call has ended.
+// Finds "admission", "ledger", "quarantine" and "target_dialect".
 std::shared_ptr<Service>
 MakeGateway(UpstreamSettings aSettings);
 
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -51,57 +51,6 @@
   return known ? static_cast<ResultCode>(aCode) : ResultCode::PeerLost;
 }
 
-CallId
-DecodeCallId(schema::CallId::Reader aIn)
-{
-  return { aIn.getOrigin(), aIn.getSequence() };
-}
-
-KeyId
-DecodeKey(schema::Key::Reader aIn)
-{
-  return { aIn.getHigh(), aIn.getLow() };
-}
-
-NodeRef
-DecodeNodeRef(schema::NodeRef::Reader aIn)
-{
-  NodeRef node;
-  node.m_node.m_value = FromText(aIn.getNode());
-  node.m_incarnation = aIn.getIncarnation();
-  return node;
-}
-
-KeyRecord
-DecodeRecord(schema::KeyRecord::Reader aIn)
-{
-  KeyRecord record;
-  record.m_key = DecodeKey(aIn.getKey());
-  record.m_digest = aIn.getDigest();
-  record.m_call = DecodeCallId(aIn.getCall());
-  record.m_target = DecodeNodeRef(aIn.getTarget());
-  // Unlike a call's, a record's age is safe when it is too low: the record is
-  // only kept longer.
-  record.m_age = DecodeSpan(aIn.getAgeNs());
-  record.m_answered = aIn.getAnswered();
-  if (aIn.getHasAnswer()) {
-    record.m_answer = FromData(aIn.getAnswer());
-  }
-  return record;
-}
-
-std::vector<KeyRecord>
-DecodeRecords(schema::Records::Reader aIn)
-{
-  const auto list = aIn.getRecords();
-  std::vector<KeyRecord> records;
-  records.reserve(list.size());
-  for (const auto record : list) {
-    records.push_back(DecodeRecord(record));
-  }
-  return records;
-}
-
 std::vector<HeaderField>
 DecodeFields(capnp::List<schema::Field>::Reader aFields)
 {
@@ -125,6 +74,7 @@
   load.m_leaving = aIn.getLeaving();
   load.m_latency = Duration(aIn.getLatencyNs());
   load.m_incarnation = aIn.getIncarnation();
+  load.m_slowness = aIn.getSlowness();
   return load;
 }
 
@@ -152,9 +102,10 @@
   head.m_method = FromText(aIn.getMethod());
   head.m_path = FromText(aIn.getPath());
   head.m_headers = DecodeFields(aIn.getHeaders());
-  head.m_key = FromText(aIn.getKey());
-  head.m_digest = aIn.getDigest();
   head.m_identity = aIn.getIdentity();
+  head.m_requestId = FromText(aIn.getRequestId());
+  head.m_goal = DecodeSpan(aIn.getGoalNs());
+  head.m_routeClass = aIn.getRouteClass();
   head.m_remaining = DecodeSpan(aIn.getRemainingNs());
   head.m_priority = aIn.getPriority();
   head.m_idempotent = aIn.getIdempotent();
@@ -167,7 +118,6 @@
     head.m_body = FromData(aIn.getBody());
   }
   head.m_age = DecodeAge(aIn.getAgeNs());
-  head.m_keyOwner = DecodeNodeRef(aIn.getKeyOwner());
   return head;
 }
 
@@ -218,137 +168,23 @@
   reply.m_state = known ? static_cast<CallState>(state) : CallState::Unknown;
   reply.m_code = DecodeCode(aIn.getCode());
   reply.m_withdrawn = aIn.getWithdrawn();
-  if (aIn.getHasAnswer()) {
-    reply.m_answer = FromData(aIn.getAnswer());
-  }
   return reply;
 }
 
-ClaimRequest
-DecodeClaim(schema::Claim::Reader aIn)
-{
-  ClaimRequest request;
-  request.m_key = DecodeKey(aIn.getKey());
-  request.m_digest = aIn.getDigest();
-  request.m_call = DecodeCallId(aIn.getCall());
-  request.m_target = DecodeNodeRef(aIn.getTarget());
-  if (aIn.getHasMinted()) {
-    request.m_minted = WallTime(Duration(aIn.getMintedNs()));
-  }
-  for (const auto call : aIn.getProven()) {
-    request.m_proven.push_back(DecodeCallId(call));
-  }
-  return request;
-}
-
-ClaimResult
-DecodeClaimed(schema::Claimed::Reader aIn)
-{
-  ClaimResult result;
-  const uint8_t verdict = aIn.getVerdict();
-  if (verdict > static_cast<uint8_t>(ClaimVerdict::Refused)) {
-    result.m_code = ResultCode::KeyOwnerUnreachable;
-    return result;
-  }
-  result.m_verdict = static_cast<ClaimVerdict>(verdict);
-  result.m_code = DecodeCode(aIn.getCode());
-  const bool refused = result.m_verdict == ClaimVerdict::Refused;
-  if (refused && result.m_code == ResultCode::Ok) {
-    result.m_code = ResultCode::KeyOwnerUnreachable;
-  }
-  if (result.m_verdict == ClaimVerdict::Claimed) {
-    result.m_record = DecodeRecord(aIn.getRecord());
-  }
-  return result;
-}
-
-SupportedFrame
-DecodeSupported(schema::Supported::Reader aIn)
-{
-  SupportedFrame frame;
-  frame.m_confirmed = aIn.getConfirmed();
-  for (const uint64_t view : aIn.getViews()) {
-    frame.m_views.push_back(view);
-  }
-  return frame;
-}
-
 ConfigFrame
 DecodeConfig(schema::Config::Reader aIn)
 {
   ConfigFrame frame;
-  if (aIn.getVersion() == 0 || aIn.getText().size() > kMaxDeclarationBytes) {
+  if (aIn.getPosition() == 0) {
     return frame;
   }
-  PeerConfig& config = frame.m_config.emplace();
-  config.m_copy.m_version = aIn.getVersion();
-  config.m_copy.m_publishId = FromText(aIn.getPublishId());
-  config.m_copy.m_author = FromText(aIn.getAuthor());
-  config.m_copy.m_text = FromText(aIn.getText());
-  config.m_asOf = aIn.getAsOf();
-  config.m_anchorAge = std::max(Duration(aIn.getAnchorAgeNs()), Duration());
-  return frame;
-}
-
-std::error_code
-DecodeKeyContent(schema::PeerFrame::Reader aIn, PeerFrame& aFrame)
-{
-  using Which = schema::PeerFrame::Which;
-  switch (aIn.which()) {
-    case Which::CLAIM:
-      aFrame.m_content = DecodeClaim(aIn.getClaim());
-      return {};
-    case Which::CLAIMED:
-      aFrame.m_content = DecodeClaimed(aIn.getClaimed());
-      return {};
-    case Which::SUPPORT:
-      aFrame.m_content = SupportFrame{};
-      return {};
-    case Which::SUPPORTED:
-      aFrame.m_content = DecodeSupported(aIn.getSupported());
-      return {};
-    case Which::COLLECT:
-      aFrame.m_content = CollectFrame{ aIn.getCollect() };
-      return {};
-    case Which::COLLECTED: {
-      const auto in = aIn.getCollected();
-      aFrame.m_content = CollectedFrame{
-        in.getConfirmed(), DecodeRecords(in), in.getLast(), !in.getNoLoss()
-      };
-      return {};
-    }
-    case Which::EXTEND: {
-      const auto in = aIn.getExtend();
-      aFrame.m_content =
-        ExtendFrame{ DecodeKey(in.getKey()), DecodeCallId(in.getCall()) };
-      return {};
-    }
-    case Which::RELEASE: {
-      const auto in = aIn.getRelease();
-      aFrame.m_content =
-        ReleaseFrame{ DecodeKey(in.getKey()), DecodeCallId(in.getCall()) };
-      return {};
-    }
-    case Which::NOTED:
-      aFrame.m_content = NotedFrame{};
-      return {};
-    case Which::IMPORT: {
-      const auto in = aIn.getImport();
-      aFrame.m_content = ImportFrame{ DecodeRecords(in), in.getLast() };
-      return {};
-    }
-    case Which::ASK_CONFIG:
-      aFrame.m_content = AskConfigFrame{};
-      return {};
-    case Which::CONFIG:
-      aFrame.m_content = DecodeConfig(aIn.getConfig());
-      return {};
-    case Which::IMPORTED:
-      aFrame.m_content = ImportedFrame{ aIn.getImported() };
-      return {};
-    default:
-      return ResultCode::MalformedFrame; // from a newer peer
+  OperatorState& state = frame.m_state.emplace();
+  state.m_position = aIn.getPosition();
+  state.m_routes = FromText(aIn.getRoutes());
+  for (const auto zone : aIn.getZonesOut()) {
+    state.m_zonesOut.push_back(FromText(zone));
   }
+  return frame;
 }
 
 std::error_code
@@ -396,8 +232,14 @@
     case Which::RESOLVED:
       aFrame.m_content = DecodeResolved(aIn.getResolved());
       return {};
+    case Which::ASK_CONFIG:
+      aFrame.m_content = AskConfigFrame{};
+      return {};
+    case Which::CONFIG:
+      aFrame.m_content = DecodeConfig(aIn.getConfig());
+      return {};
     default:
-      return DecodeKeyContent(aIn, aFrame);
+      return ResultCode::MalformedFrame; // from a newer peer
   }
 }
 
--- a/src/wire/encode.cpp
+++ b/src/wire/encode.cpp
@@ -42,52 +42,7 @@
   aOut.setLeaving(aLoad.m_leaving);
   aOut.setLatencyNs(aLoad.m_latency.count());
   aOut.setIncarnation(aLoad.m_incarnation);
-}
-
-void
-EncodeCallId(const CallId& aCall, schema::CallId::Builder aOut)
-{
-  aOut.setOrigin(aCall.m_origin);
-  aOut.setSequence(aCall.m_sequence);
-}
-
-void
-EncodeKey(const KeyId& aKey, schema::Key::Builder aOut)
-{
-  aOut.setHigh(aKey.m_high);
-  aOut.setLow(aKey.m_low);
-}
-
-void
-EncodeNodeRef(const NodeRef& aNode, schema::NodeRef::Builder aOut)
-{
-  aOut.setNode(ToText(aNode.m_node.m_value));
-  aOut.setIncarnation(aNode.m_incarnation);
-}
-
-void
-EncodeRecord(const KeyRecord& aRecord, schema::KeyRecord::Builder aOut)
-{
-  EncodeKey(aRecord.m_key, aOut.initKey());
-  aOut.setDigest(aRecord.m_digest);
-  EncodeCallId(aRecord.m_call, aOut.initCall());
-  EncodeNodeRef(aRecord.m_target, aOut.initTarget());
-  aOut.setAgeNs(aRecord.m_age.count());
-  aOut.setAnswered(aRecord.m_answered);
-  aOut.setHasAnswer(aRecord.m_answer.has_value());
-  if (aRecord.m_answer) {
-    aOut.setAnswer(ToData(*aRecord.m_answer));
-  }
-}
-
-void
-EncodeRecords(const std::vector<KeyRecord>& aRecords,
-              schema::Records::Builder aOut)
-{
-  auto out = aOut.initRecords(static_cast<unsigned>(aRecords.size()));
-  for (unsigned i = 0; i < aRecords.size(); ++i) {
-    EncodeRecord(aRecords[i], out[i]);
-  }
+  aOut.setSlowness(aLoad.m_slowness);
 }
 
 struct Encoder
@@ -118,9 +73,10 @@
     out.setPath(ToText(aHead.m_path));
     const auto count = static_cast<unsigned>(aHead.m_headers.size());
     EncodeFields(aHead.m_headers, out.initHeaders(count));
-    out.setKey(ToText(aHead.m_key));
-    out.setDigest(aHead.m_digest);
     out.setIdentity(aHead.m_identity);
+    out.setRequestId(ToText(aHead.m_requestId));
+    out.setGoalNs(aHead.m_goal.count());
+    out.setRouteClass(aHead.m_routeClass);
     out.setRemainingNs(aHead.m_remaining.count());
     out.setPriority(aHead.m_priority);
     out.setIdempotent(aHead.m_idempotent);
@@ -133,9 +89,6 @@
       out.setBody(ToData(*aHead.m_body));
     }
     out.setAgeNs(aHead.m_age.count());
-    if (aHead.m_keyOwner != NodeRef{}) {
-      EncodeNodeRef(aHead.m_keyOwner, out.initKeyOwner());
-    }
   }
   void operator()(const BodyChunkFrame& aFrame)
   {
@@ -183,97 +136,22 @@
     out.setState(static_cast<uint8_t>(aReply.m_state));
     out.setCode(static_cast<uint16_t>(aReply.m_code));
     out.setWithdrawn(aReply.m_withdrawn);
-    out.setHasAnswer(aReply.m_answer.has_value());
-    if (aReply.m_answer) {
-      out.setAnswer(ToData(*aReply.m_answer));
-    }
-  }
-  void operator()(const ClaimRequest& aRequest)
-  {
-    auto out = m_out.initClaim();
-    EncodeKey(aRequest.m_key, out.initKey());
-    out.setDigest(aRequest.m_digest);
-    EncodeCallId(aRequest.m_call, out.initCall());
-    EncodeNodeRef(aRequest.m_target, out.initTarget());
-    out.setHasMinted(aRequest.m_minted.has_value());
-    if (aRequest.m_minted) {
-      out.setMintedNs(aRequest.m_minted->time_since_epoch().count());
-    }
-    const auto count = static_cast<unsigned>(aRequest.m_proven.size());
-    auto proven = out.initProven(count);
-    for (unsigned i = 0; i < count; ++i) {
-      EncodeCallId(aRequest.m_proven[i], proven[i]);
-    }
-  }
-  void operator()(const ClaimResult& aResult)
-  {
-    auto out = m_out.initClaimed();
-    out.setVerdict(static_cast<uint8_t>(aResult.m_verdict));
-    out.setCode(static_cast<uint16_t>(aResult.m_code));
-    if (aResult.m_verdict == ClaimVerdict::Claimed) {
-      EncodeRecord(aResult.m_record, out.initRecord());
-    }
-  }
-  void operator()(const SupportFrame&) { m_out.setSupport(); }
-  void operator()(const SupportedFrame& aFrame)
-  {
-    auto out = m_out.initSupported();
-    out.setConfirmed(aFrame.m_confirmed);
-    const auto count = static_cast<unsigned>(aFrame.m_views.size());
-    auto views = out.initViews(count);
-    for (unsigned i = 0; i < count; ++i) {
-      views.set(i, aFrame.m_views[i]);
-    }
-  }
-  void operator()(const CollectFrame& aFrame)
-  {
-    m_out.setCollect(aFrame.m_view);
-  }
-  void operator()(const CollectedFrame& aFrame)
-  {
-    auto out = m_out.initCollected();
-    out.setConfirmed(aFrame.m_confirmed);
-    EncodeRecords(aFrame.m_records, out);
-    out.setLast(aFrame.m_last);
-    out.setNoLoss(!aFrame.m_loss);
-  }
-  void operator()(const ExtendFrame& aFrame)
-  {
-    auto out = m_out.initExtend();
-    EncodeKey(aFrame.m_key, out.initKey());
-    EncodeCallId(aFrame.m_call, out.initCall());
-  }
-  void operator()(const ReleaseFrame& aFrame)
-  {
-    auto out = m_out.initRelease();
-    EncodeKey(aFrame.m_key, out.initKey());
-    EncodeCallId(aFrame.m_call, out.initCall());
-  }
-  void operator()(const NotedFrame&) { m_out.setNoted(); }
-  void operator()(const ImportFrame& aFrame)
-  {
-    auto out = m_out.initImport();
-    EncodeRecords(aFrame.m_records, out);
-    out.setLast(aFrame.m_last);
   }
   void operator()(const AskConfigFrame&) { m_out.setAskConfig(); }
   void operator()(const ConfigFrame& aFrame)
   {
     auto out = m_out.initConfig();
-    if (!aFrame.m_config) {
+    if (!aFrame.m_state) {
       return;
     }
-    const PeerConfig& config = *aFrame.m_config;
-    out.setVersion(config.m_copy.m_version);
-    out.setPublishId(ToText(config.m_copy.m_publishId));
-    out.setAuthor(ToText(config.m_copy.m_author));
-    out.setText(ToText(config.m_copy.m_text));
-    out.setAsOf(config.m_asOf);
-    out.setAnchorAgeNs(config.m_anchorAge.count());
-  }
-  void operator()(const ImportedFrame& aFrame)
-  {
-    m_out.setImported(aFrame.m_accepted);
+    const OperatorState& state = *aFrame.m_state;
+    out.setPosition(state.m_position);
+    out.setRoutes(ToText(state.m_routes));
+    const auto count = static_cast<unsigned>(state.m_zonesOut.size());
+    auto zones = out.initZonesOut(count);
+    for (unsigned i = 0; i < count; ++i) {
+      zones.set(i, ToText(state.m_zonesOut[i]));
+    }
   }
 };
 } // namespace
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -10,16 +10,6 @@
   sequence @1 :UInt64;
 }
 
-struct NodeRef {
-  node @0 :Text;
-  incarnation @1 :UInt64;
-}
-
-struct Key {
-  high @0 :UInt64;
-  low @1 :UInt64;
-}
-
 struct Load {
   inFlight @0 :UInt32;
   queued @1 :UInt32;
@@ -29,6 +19,7 @@
   leaving @5 :Bool;
   latencyNs @6 :Int64;
   incarnation @7 :UInt64;
+  slowness @8 :UInt32 = 100; # percent of the usual time
 }
 
 struct Field {
@@ -52,20 +43,20 @@
   method @1 :Text;
   path @2 :Text;
   headers @3 :List(Field);
-  key @4 :Text;
-  digest @5 :UInt64;
+  requestId @4 :Text;
+  identity @5 :UInt64;
   remainingNs @6 :Int64;
-  priority @7 :UInt8;
-  idempotent @8 :Bool;
-  retrySpent @9 :Bool;
-  nodeIncarnation @10 :UInt64;
-  hasLength @11 :Bool;
-  length @12 :UInt64;
-  hasBody @13 :Bool;
-  body @14 :Data;
-  ageNs @15 :Int64;
-  keyOwner @16 :NodeRef;
-  identity @17 :UInt64;
+  goalNs @7 :Int64;
+  priority @8 :UInt8;
+  idempotent @9 :Bool;
+  retrySpent @10 :Bool;
+  nodeIncarnation @11 :UInt64;
+  hasLength @12 :Bool;
+  length @13 :UInt64;
+  hasBody @14 :Bool;
+  body @15 :Data;
+  ageNs @16 :Int64;
+  routeClass @17 :UInt32;
 }
 
 struct AnswerHead {
@@ -98,62 +89,13 @@
   state @0 :UInt8;
   code @1 :UInt16;
   withdrawn @2 :Bool;
-  hasAnswer @3 :Bool;
-  answer @4 :Data;
-}
-
-struct KeyRecord {
-  key @0 :Key;
-  digest @1 :UInt64;
-  call @2 :CallId;
-  target @3 :NodeRef;
-  ageNs @4 :Int64;
-  answered @5 :Bool;
-  hasAnswer @6 :Bool;
-  answer @7 :Data;
-}
-
-struct Claim {
-  key @0 :Key;
-  digest @1 :UInt64;
-  call @2 :CallId;
-  target @3 :NodeRef;
-  hasMinted @4 :Bool;
-  mintedNs @5 :Int64;
-  proven @6 :List(CallId);
-}
-
-struct Claimed {
-  verdict @0 :UInt8;
-  code @1 :UInt16;
-  record @2 :KeyRecord;
-}
-
-struct Supported {
-  confirmed @0 :Bool;
-  views @1 :List(UInt64);
-}
-
-struct Records {
-  confirmed @0 :Bool;
-  records @1 :List(KeyRecord);
-  last @2 :Bool;
-  noLoss @3 :Bool; # only in collected; a missing field is read as a loss
-}
-
-struct KeyCall {
-  key @0 :Key;
-  call @1 :CallId;
 }
 
-# The declaration in force; without a version when none is certain.
+# What operators have published; without a position when nothing is known.
 struct Config {
-  version @0 :UInt64;
-  publishId @1 :Text;
-  author @2 :Text;
-  text @3 :Text;
-  asOf @4 :UInt64;
-  anchorAgeNs @5 :Int64;
+  position @0 :UInt64;
+  routes @1 :Text;
+  zonesOut @2 :List(Text);
 }
 
 struct PeerFrame {
@@ -171,18 +113,7 @@
     cancel @10 :Void;
     resolve @11 :Resolve;
     resolved @12 :Resolved;
-    claim @13 :Claim;
-    claimed @14 :Claimed;
-    support @15 :Void;
-    supported @16 :Supported;
-    collect @17 :UInt64;
-    collected @18 :Records;
-    extend @19 :KeyCall;
-    release @20 :KeyCall;
-    noted @21 :Void;
-    import @22 :Records;
-    imported @23 :Bool;
-    askConfig @24 :Void;
-    config @25 :Config;
+    askConfig @13 :Void;
+    config @14 :Config;
   }
 }
--- a/tests/drills/fleet.h
+++ b/tests/drills/fleet.h
@@ -103,6 +103,14 @@
   void Add(const std::string& aService, uint32_t aCount, uint32_t aSlots = 6);
   // Starts all processes and waits until each service answers at each node.
   void Start(std::vector<std::string> aExtraFlags = {});
+  // The same on the platform: the nodes find each other and the routes through
+  // a stand-in store, and the targets speak the platform's dialect. Each
+  // service has a host of its name, with the routes /safe/ and /once/.
+  void StartOnPlatform();
+  // Publishes those routes again, as the next version.
+  void PublishRoutes(uint32_t aTimeoutMs = 5000);
+  // Sends a command to the stand-in store.
+  void TellStore(const std::string& aCommand, const std::string& aBody = "");
   // aFirst: starts the fleet; every other node joins through the rest.
   void StartNode(Instance& aInstance, bool aFirst = false);
   void StartTarget(Instance& aInstance);
@@ -129,9 +137,13 @@
 
 private:
   std::string SeedsFor(const Instance& aInstance) const;
+  std::vector<std::string> PlatformFlags(const Instance& aInstance) const;
 
   std::vector<Instance> m_instances;
   std::vector<std::string> m_extraFlags;
+  std::unique_ptr<Process> m_store; // only on the platform
+  Endpoint m_storeAddress;
+  uint64_t m_routesVersion = 0;
   std::map<std::string, uint64_t> m_keptRuns;
   std::string m_logs;
   uint16_t m_nextPort;
--- /dev/null
+++ b/tests/unit/routes_test.cpp
@@ -0,0 +1,139 @@
+// Guards the matching of routes, the weighted choice and the published state.
+#include "routes/routes.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sassafrasquay;
+
+namespace {
+
+Route
+MakeRoute(std::string aName, std::string aPrefix)
+{
+  Route route;
+  route.m_name = std::move(aName);
+  route.m_prefix = std::move(aPrefix);
+  route.m_services = { { "service", 1 } };
+  return route;
+}
+
+RouteTable
+MakeTable()
+{
+  RouteTable table;
+  table.m_hosts["a.example"] = { MakeRoute("short", "/x/"),
+                                 MakeRoute("long", "/x/y/") };
+  SortRoutes(table);
+  return table;
+}
+
+// A document is the version of its table; "bad" cannot be decoded.
+class Documents : public RouteDocuments
+{
+public:
+  std::optional<RouteTable> Decode(std::string_view aDocument,
+                                   std::string& aFault) const override
+  {
+    if (aDocument == "bad") {
+      aFault = "bad";
+      return std::nullopt;
+    }
+    RouteTable table;
+    table.m_version = std::stoull(std::string(aDocument));
+    return table;
+  }
+};
+
+struct StoreFixture
+{
+  Documents m_documents;
+  OperatorStore m_store{ m_documents };
+
+  uint64_t Version() const { return m_store.Routes()->m_version; }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(routes)
+
+BOOST_AUTO_TEST_SUITE(a_request_finds_its_route)
+
+// Guards against a request that the operator meant for another service.
+BOOST_AUTO_TEST_CASE(the_longest_prefix_of_its_host_wins)
+{
+  const RouteTable table = MakeTable();
+  BOOST_TEST(FindRoute(table, "a.example", "/x/1")->m_name == "short");
+  BOOST_TEST(FindRoute(table, "a.example:80", "/x/y/1")->m_name == "long");
+  BOOST_TEST(FindRoute(table, "a.example", "/x/y/?q=/x/")->m_name == "long");
+  BOOST_TEST(FindRoute(table, "a.example", "/x") == nullptr);
+  BOOST_TEST(FindRoute(table, "a.example", "/z/?u=/x/") == nullptr);
+  BOOST_TEST(FindRoute(table, "b.example", "/x/1") == nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_route_splits_its_requests)
+
+// Guards against shares that lie off their weights, also over short runs.
+BOOST_AUTO_TEST_CASE(in_the_proportion_of_the_weights)
+{
+  Route route = MakeRoute("split", "/x/");
+  route.m_services = { { "a", 90 }, { "b", 10 } };
+  WeightedChoice choice;
+  size_t toB = 0;
+  for (size_t i = 1; i <= 1000; ++i) {
+    toB += choice.Choose(route) == "b" ? 1 : 0;
+    BOOST_REQUIRE(
+      std::abs(static_cast<double>(toB) - 0.1 * static_cast<double>(i)) <= 1);
+  }
+}
+
+// Guards against a part that keeps getting requests after its weight became 0,
+// and against a crash when every weight is 0.
+BOOST_AUTO_TEST_CASE(and_follows_a_change_of_the_weights)
+{
+  Route route = MakeRoute("split", "/x/");
+  route.m_services = { { "a", 1 }, { "b", 1 } };
+  WeightedChoice choice;
+  choice.Choose(route);
+  route.m_services = { { "a", 1 }, { "b", 0 } };
+  for (int i = 0; i < 10; ++i) {
+    BOOST_TEST(choice.Choose(route) == "a");
+  }
+  route.m_services = { { "a", 0 }, { "b", 0 } };
+  BOOST_TEST(choice.Choose(route) == "a");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(operators_publish, StoreFixture)
+
+// Guards against a node that goes back to an older state.
+BOOST_AUTO_TEST_CASE(and_an_older_position_changes_nothing)
+{
+  BOOST_CHECK(m_store.Offer({ 2, "5", { "z" } }) == OfferResult::Applied);
+  BOOST_CHECK(m_store.Offer({ 1, "4", {} }) == OfferResult::Older);
+  BOOST_CHECK(m_store.Offer({ 2, "6", {} }) == OfferResult::Older);
+  BOOST_TEST(Version() == 5U);
+  BOOST_TEST(m_store.State().m_zonesOut.size() == 1U);
+}
+
+// Guards against routes that are lost, or that go back, because of a document
+// that cannot be used; a zone that is taken out meanwhile still counts.
+BOOST_AUTO_TEST_CASE(and_a_faulty_document_leaves_the_last_good_routes)
+{
+  m_store.Offer({ 1, "5", {} });
+  BOOST_CHECK(m_store.Offer({ 2, "bad", { "z" } }) == OfferResult::Faulty);
+  BOOST_TEST(Version() == 5U);
+  BOOST_TEST(m_store.State().m_zonesOut.size() == 1U);
+  BOOST_CHECK(m_store.Offer({ 3, "4", {} }) == OfferResult::Faulty);
+  BOOST_TEST(Version() == 5U);
+  BOOST_TEST(!m_store.Fault().empty());
+  BOOST_CHECK(m_store.Offer({ 4, "6", {} }) == OfferResult::Applied);
+  BOOST_TEST(Version() == 6U);
+  BOOST_TEST(m_store.Fault().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
