--- /dev/null
+++ b/tests/unit/stated_admission_test.cpp
@@ -0,0 +1,176 @@
+// Guards admission beside a target that states its cold starts and its load.
+#include "admission/admission.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sassafrasquay;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kStart{ 1000s };
+
+struct AdmissionFixture
+{
+  std::unique_ptr<Admission> m_admission =
+    MakeStatedAdmission(AdmissionSettings());
+  uint64_t m_next = 0;
+
+  AdmissionFixture() { m_admission->SetTarget(2, 1, kStart); }
+
+  AdmissionRequest Request(uint8_t aPriority = 100)
+  {
+    AdmissionRequest request;
+    request.m_call = { 1, ++m_next };
+    request.m_deadline = kStart + 10s;
+    request.m_priority = aPriority;
+    return request;
+  }
+  AdmissionVerdict Offer(TimePoint aNow = kStart, uint8_t aPriority = 100)
+  {
+    return m_admission->Offer(Request(aPriority), aNow).m_verdict;
+  }
+  std::vector<AdmissionEvent> Finish(uint64_t aCall,
+                                     TimePoint aNow,
+                                     Duration aTook = 10ms)
+  {
+    return m_admission->Finish(
+      { 1, aCall }, { ServiceEnd::Completed, aTook }, aNow);
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(stated_admission, AdmissionFixture)
+
+BOOST_AUTO_TEST_SUITE(a_warm_target)
+
+// Guards against more requests at the target than it has slots.
+BOOST_AUTO_TEST_CASE(gets_a_request_for_each_slot_and_the_rest_queues)
+{
+  BOOST_CHECK(Offer() == AdmissionVerdict::Admitted);
+  BOOST_CHECK(Offer() == AdmissionVerdict::Admitted);
+  BOOST_CHECK(Offer() == AdmissionVerdict::Queued);
+  const auto events = Finish(1, kStart + 10ms);
+  BOOST_REQUIRE_EQUAL(events.size(), 1U);
+  BOOST_TEST(events[0].m_admitted);
+  BOOST_CHECK(events[0].m_call == (CallId{ 1, 3 }));
+}
+
+// Guards against urgent requests that wait behind less urgent ones.
+BOOST_AUTO_TEST_CASE(runs_the_more_urgent_request_first)
+{
+  Offer();
+  Offer();
+  Offer(kStart, 100);
+  Offer(kStart, 200);
+  const auto events = Finish(1, kStart + 10ms);
+  BOOST_REQUIRE_EQUAL(events.size(), 1U);
+  BOOST_CHECK(events[0].m_call == (CallId{ 1, 4 }));
+}
+
+// Guards against slots spent on requests whose objective has passed while
+// others can still be answered within theirs.
+BOOST_AUTO_TEST_CASE(prefers_requests_that_can_meet_their_objective)
+{
+  Offer();
+  Offer();
+  AdmissionRequest late = Request();
+  late.m_goal = kStart + 5ms;
+  m_admission->Offer(late, kStart);
+  AdmissionRequest timely = Request();
+  timely.m_goal = kStart + 5s;
+  m_admission->Offer(timely, kStart);
+  const auto events = Finish(1, kStart + 10ms);
+  BOOST_REQUIRE_EQUAL(events.size(), 1U);
+  BOOST_CHECK(events[0].m_call == timely.m_call);
+}
+
+// Guards against a queue in which requests wait past their deadline.
+BOOST_AUTO_TEST_CASE(refuses_what_cannot_be_answered_in_time)
+{
+  Offer();
+  Offer();
+  Finish(1, kStart, 2s); // work takes two seconds here
+  Offer();
+  AdmissionRequest hurried = Request();
+  hurried.m_deadline = kStart + 1s;
+  BOOST_CHECK(m_admission->Offer(hurried, kStart).m_verdict ==
+              AdmissionVerdict::Refused);
+}
+
+// Guards against a queued call that is neither admitted nor refused when its
+// time is over.
+BOOST_AUTO_TEST_CASE(refuses_queued_requests_at_their_deadline)
+{
+  Offer();
+  Offer();
+  Offer();
+  BOOST_CHECK(m_admission->NextTick() == kStart + 10s);
+  const auto events = m_admission->Tick(kStart + 10s);
+  BOOST_REQUIRE_EQUAL(events.size(), 1U);
+  BOOST_TEST(!events[0].m_admitted);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_cold_target)
+
+// Guards against more requests in a second than a cold target bears; requests
+// from before it turned cold count as well.
+BOOST_AUTO_TEST_CASE(gets_requests_at_its_stated_rate)
+{
+  m_admission->SetColdRate(3);
+  BOOST_CHECK(Offer() == AdmissionVerdict::Admitted);
+  Finish(1, kStart);
+  m_admission->SetColdFor(5s, kStart);
+  for (uint64_t call = 2; call <= 3; ++call) {
+    BOOST_CHECK(Offer() == AdmissionVerdict::Admitted);
+    Finish(call, kStart);
+  }
+  BOOST_CHECK(Offer() == AdmissionVerdict::Refused);
+  BOOST_CHECK(Offer(kStart + 999ms) == AdmissionVerdict::Refused);
+  BOOST_CHECK(Offer(kStart + 1s) == AdmissionVerdict::Admitted);
+}
+
+// Guards against a target that stays at its cold rate for ever.
+BOOST_AUTO_TEST_CASE(is_warm_when_the_stated_time_is_over)
+{
+  m_admission->SetColdRate(1);
+  m_admission->SetColdFor(1s, kStart);
+  BOOST_TEST(m_admission->Report(kStart).m_cold);
+  BOOST_CHECK(Offer() == AdmissionVerdict::Admitted);
+  BOOST_CHECK(Offer(kStart + 500ms) == AdmissionVerdict::Refused);
+  BOOST_CHECK(Offer(kStart + 1s) == AdmissionVerdict::Admitted);
+  BOOST_TEST(!m_admission->Report(kStart).m_cold);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_target_that_takes_no_work)
+
+// Guards against requests at a target that leaves, that is out of service or
+// that is gone; queued ones are refused as well, so that they can go elsewhere.
+BOOST_AUTO_TEST_CASE(refuses_new_and_queued_requests)
+{
+  Offer();
+  Offer();
+  Offer();
+  m_admission->SetLeaving(true, kStart);
+  const auto events = m_admission->Tick(kStart);
+  BOOST_REQUIRE_EQUAL(events.size(), 1U);
+  BOOST_CHECK(events[0].m_code == ResultCode::TargetLeaving);
+  BOOST_CHECK(Offer() == AdmissionVerdict::Refused);
+  m_admission->SetTarget(2, 2, kStart); // the next process
+  BOOST_CHECK(Offer() == AdmissionVerdict::Admitted);
+  m_admission->SetZoneOut(true, kStart);
+  BOOST_CHECK(Offer() == AdmissionVerdict::Refused);
+  m_admission->SetZoneOut(false, kStart);
+  BOOST_CHECK(Offer() == AdmissionVerdict::Admitted);
+  m_admission->ClearTarget(kStart);
+  BOOST_CHECK(Offer() == AdmissionVerdict::Refused);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tools/standin_store.cpp
@@ -0,0 +1,336 @@
+// Stand-in for the platform's store: keyed topics with one partition, over the
+// calls that the node makes.
+//
+//   POST /-/log-append?topic=T&part=0    records in the body
+//   GET  /-/log-read?topic=T&part=0&from=N&waitMs=W
+//   GET  /-/log-newest?topic=T&part=0
+//   POST /standin/put?topic=T&key=K      the body becomes the key's value
+//   POST /standin/drop?topic=T&key=K     the key gets a record without a value
+//   POST /standin/compact                only the newest record of a key stays
+//   POST /standin/set?name=value         faults: down=1 answers nothing,
+//                                        busy=1 answers 503
+#include "kernel/kernel.h"
+#include "platform/store_client.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <map>
+
+DEFINE_string(address, "127.0.0.1", "loopback address to listen on");
+DEFINE_int32(port, 0, "port; 0 takes any free one");
+
+using namespace sassafrasquay;
+using namespace std::chrono_literals;
+namespace beast = boost::beast;
+namespace http = beast::http;
+namespace json = boost::json;
+
+namespace {
+
+using Request = http::request<http::string_body>;
+using Response = http::response<http::string_body>;
+using Query = std::map<std::string, std::string>;
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+struct Topic
+{
+  explicit Topic(asio::any_io_executor aExecutor)
+    : m_grown(std::move(aExecutor))
+  {
+  }
+
+  std::vector<KeyedRecord> m_records; // the newest ones, by offset
+  uint64_t m_first = 0;               // older ones are gone
+  Event m_grown;
+
+  uint64_t End() const { return m_first + m_records.size(); }
+};
+
+Query
+ParseQuery(std::string_view aTarget)
+{
+  Query query;
+  const size_t mark = aTarget.find('?');
+  std::string_view rest =
+    mark == std::string_view::npos ? "" : aTarget.substr(mark + 1);
+  while (!rest.empty()) {
+    const std::string_view part = rest.substr(0, rest.find('&'));
+    rest.remove_prefix(std::min(rest.size(), part.size() + 1));
+    const size_t equals = part.find('=');
+    if (equals != std::string_view::npos) {
+      query[std::string(part.substr(0, equals))] = part.substr(equals + 1);
+    }
+  }
+  return query;
+}
+
+uint64_t
+Number(const Query& aQuery, const std::string& aName)
+{
+  const auto found = aQuery.find(aName);
+  return found == aQuery.end() ? 0 : std::stoull(found->second);
+}
+
+std::string
+ToBase64(const std::string& aBytes)
+{
+  namespace base64 = beast::detail::base64;
+  std::string text(base64::encoded_size(aBytes.size()), '\0');
+  text.resize(base64::encode(text.data(), aBytes.data(), aBytes.size()));
+  return text;
+}
+
+void
+AppendBigEndian(uint64_t aValue, std::string& aOut)
+{
+  for (int shift = 56; shift >= 0; shift -= 8) {
+    aOut.push_back(static_cast<char>((aValue >> shift) & 0xFF));
+  }
+}
+
+class Store
+{
+public:
+  explicit Store(asio::any_io_executor aExecutor)
+    : m_executor(std::move(aExecutor))
+  {
+  }
+
+  asio::awaitable<void> Serve(asio::ip::tcp::socket aSocket);
+
+private:
+  // Without a value the connection is kept and nothing is answered.
+  asio::awaitable<std::optional<Response>> Answer(const Request& aRequest);
+  std::optional<Response> Command(std::string_view aPath,
+                                  const Query& aQuery,
+                                  const std::string& aBody);
+  Response Append(Topic& aTopic, const std::string& aBody);
+  asio::awaitable<Response> Read(Topic& aTopic, const Query& aQuery);
+  Response Newest(const Topic& aTopic);
+  Topic& Find(const std::string& aName);
+
+  asio::any_io_executor m_executor;
+  std::map<std::string, std::unique_ptr<Topic>> m_topics;
+  bool m_down = false;
+  bool m_busy = false;
+};
+
+Response
+Reply(unsigned aStatus, std::string aBody)
+{
+  Response response;
+  response.version(11);
+  response.result(aStatus);
+  response.body() = std::move(aBody);
+  response.prepare_payload();
+  return response;
+}
+
+Topic&
+Store::Find(const std::string& aName)
+{
+  std::unique_ptr<Topic>& topic = m_topics[aName];
+  if (!topic) {
+    topic = std::make_unique<Topic>(m_executor);
+  }
+  return *topic;
+}
+
+asio::awaitable<void>
+Store::Serve(asio::ip::tcp::socket aSocket)
+{
+  beast::tcp_stream stream(std::move(aSocket));
+  beast::flat_buffer buffer;
+  while (true) {
+    Request request;
+    const auto [readError, read] =
+      co_await http::async_read(stream, buffer, request, kAwait);
+    if (readError) {
+      co_return;
+    }
+    const std::optional<Response> response = co_await Answer(request);
+    if (!response) {
+      continue;
+    }
+    const auto [writeError, written] =
+      co_await http::async_write(stream, *response, kAwait);
+    if (writeError) {
+      co_return;
+    }
+  }
+}
+
+asio::awaitable<std::optional<Response>>
+Store::Answer(const Request& aRequest)
+{
+  const std::string target(aRequest.target());
+  const std::string path = target.substr(0, target.find('?'));
+  const Query query = ParseQuery(target);
+  if (path.starts_with("/standin/")) {
+    co_return Command(path, query, aRequest.body());
+  }
+  if (m_down) {
+    co_return std::nullopt;
+  }
+  if (m_busy) {
+    co_return Reply(503, "{}");
+  }
+  const auto name = query.find("topic");
+  if (name == query.end()) {
+    co_return Reply(400, "{}");
+  }
+  Topic& topic = Find(name->second);
+  if (path == "/-/log-append") {
+    co_return Append(topic, aRequest.body());
+  }
+  if (path == "/-/log-read") {
+    Response response = co_await Read(topic, query);
+    co_return response;
+  }
+  if (path == "/-/log-newest") {
+    co_return Newest(topic);
+  }
+  co_return Reply(404, "{}");
+}
+
+std::optional<Response>
+Store::Command(std::string_view aPath,
+               const Query& aQuery,
+               const std::string& aBody)
+{
+  if (aPath == "/standin/set") {
+    m_down = aQuery.contains("down") ? Number(aQuery, "down") != 0 : m_down;
+    m_busy = aQuery.contains("busy") ? Number(aQuery, "busy") != 0 : m_busy;
+    return Reply(200, "ok");
+  }
+  if (aPath == "/standin/compact") {
+    for (auto& [name, topic] : m_topics) {
+      std::map<std::string, KeyedRecord> newest;
+      for (const KeyedRecord& record : topic->m_records) {
+        newest[record.m_key] = record;
+      }
+      const uint64_t end = topic->End();
+      topic->m_records.clear();
+      for (const auto& [key, record] : newest) {
+        topic->m_records.push_back(record);
+      }
+      topic->m_first = end - topic->m_records.size();
+    }
+    return Reply(200, "ok");
+  }
+  KeyedRecord record;
+  record.m_key = aQuery.at("key");
+  if (aPath == "/standin/put") {
+    record.m_value = aBody;
+  }
+  Topic& topic = Find(aQuery.at("topic"));
+  topic.m_records.push_back(std::move(record));
+  topic.m_grown.Notify();
+  return Reply(200, "ok");
+}
+
+Response
+Store::Append(Topic& aTopic, const std::string& aBody)
+{
+  const uint64_t offset = aTopic.End();
+  if (!DecodeKeyedRecords(aBody, aTopic.m_records)) {
+    return Reply(400, "{}");
+  }
+  aTopic.m_grown.Notify();
+  const json::object reply = { { "offset", offset },
+                               { "endOffset", aTopic.End() } };
+  return Reply(200, json::serialize(reply));
+}
+
+asio::awaitable<Response>
+Store::Read(Topic& aTopic, const Query& aQuery)
+{
+  const uint64_t from = Number(aQuery, "from");
+  const auto wait = std::chrono::milliseconds(Number(aQuery, "waitMs"));
+  if (from < aTopic.m_first) {
+    const json::object reply = { { "firstOffset", aTopic.m_first } };
+    co_return Reply(410, json::serialize(reply));
+  }
+  if (from >= aTopic.End()) {
+    co_await aTopic.m_grown.WaitFor(wait);
+  }
+  std::string body;
+  AppendBigEndian(aTopic.End(), body);
+  AppendBigEndian(aTopic.m_first, body);
+  for (uint64_t at = from; at < aTopic.End(); ++at) {
+    EncodeKeyedRecord(aTopic.m_records[at - aTopic.m_first], body);
+  }
+  co_return Reply(200, std::move(body));
+}
+
+Response
+Store::Newest(const Topic& aTopic)
+{
+  std::map<std::string, std::pair<uint64_t, KeyedRecord>> newest;
+  for (size_t i = 0; i < aTopic.m_records.size(); ++i) {
+    const KeyedRecord& record = aTopic.m_records[i];
+    newest[record.m_key] = { aTopic.m_first + i, record };
+  }
+  json::array items;
+  for (const auto& [key, entry] : newest) {
+    if (entry.second.m_value) {
+      items.push_back(
+        json::object{ { "key", key },
+                      { "value", ToBase64(*entry.second.m_value) },
+                      { "offset", entry.first } });
+    }
+  }
+  const json::object reply = { { "items", std::move(items) },
+                               { "hasMore", false },
+                               { "endOffset", aTopic.End() } };
+  return Reply(200, json::serialize(reply));
+}
+
+asio::awaitable<void>
+Accept(asio::ip::tcp::acceptor aAcceptor, Store& aStore)
+{
+  while (true) {
+    auto [error, socket] = co_await aAcceptor.async_accept(kAwait);
+    if (!error) {
+      asio::co_spawn(aAcceptor.get_executor(),
+                     aStore.Serve(std::move(socket)),
+                     asio::detached);
+    }
+  }
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
+  if (FLAGS_port < 0 || FLAGS_port > 65535) {
+    std::cerr << "--port must be from 0 to 65535\n";
+    return 2;
+  }
+  try {
+    asio::io_context context(1);
+    const asio::ip::tcp::endpoint endpoint(
+      asio::ip::make_address(FLAGS_address), static_cast<uint16_t>(FLAGS_port));
+    asio::ip::tcp::acceptor acceptor(context, endpoint);
+    std::cout << "listening " << acceptor.local_endpoint().port() << std::endl;
+    Store store(context.get_executor());
+    asio::co_spawn(context, Accept(std::move(acceptor), store), asio::detached);
+    context.run();
+  } catch (const std::exception& error) {
+    std::cerr << "standin_store: " << error.what() << '\n';
+    return 1;
+  }
+  return 0;
+}
--- a/tools/standin_target.cpp
+++ b/tools/standin_target.cpp
@@ -11,9 +11,12 @@
 //   any other path                a request: echoes identity, path and body
 //   size
 //
-// The identity is X-Identity, else Idempotency-Key, else the request id.
+// The identity is X-Identity, else the platform's attempt id, else the request
+// id. With --platform it speaks the platform's dialect of HTTP and sends status
+// reports in the platform's form.
 #include "httpbase/httpbase.h"
 #include "kernel/kernel.h"
+#include "platform/dialects.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -39,6 +42,8 @@
 DEFINE_uint32(slots, 6, "slots to announce");
 DEFINE_uint64(incarnation, 0, "incarnation; 0 takes the wall clock");
 DEFINE_uint32(service_ms, 0, "ms of work for each request");
+DEFINE_bool(platform, false, "speak the platform's dialect and reports");
+DEFINE_string(id, "", "instance id in the platform's reports");
 
 using namespace sassafrasquay;
 namespace beast = boost::beast;
@@ -62,6 +67,8 @@
   uint64_t m_truncate = 0;      // truncate=1: ends the answer early
   uint64_t m_crashPath = 0;     // crash_path=1: exits on a path with "crash"
   uint64_t m_answerBytes = 0;   // answer_bytes: pads the answer
+  uint64_t m_extraAnswer = 0;   // extra=1: a second answer after each one
+  uint64_t m_slowness = 100;    // slowness: as stated with the load
 };
 
 struct State
@@ -72,6 +79,9 @@
   uint64_t m_inUse = 0;
   uint64_t m_peak = 0;
   uint64_t m_requests = 0;
+  uint64_t m_sequence = 0; // of the platform's reports
+  uint64_t m_born = 0;     // Unix milliseconds
+  bool m_draining = false;
   Endpoint m_own;
   Endpoint m_control;
 };
@@ -94,6 +104,8 @@
     { "truncate", &aFaults.m_truncate },
     { "crash_path", &aFaults.m_crashPath },
     { "answer_bytes", &aFaults.m_answerBytes },
+    { "extra", &aFaults.m_extraAnswer },
+    { "slowness", &aFaults.m_slowness },
   };
   const auto found = fields.find(aName);
   if (found != fields.end()) {
@@ -103,7 +115,7 @@
 }
 
 asio::awaitable<bool>
-PostToNode(State& aState, std::string aPath, std::string aBody)
+CallNode(State& aState, http::verb aVerb, std::string aPath, std::string aBody)
 {
   beast::tcp_stream stream(co_await asio::this_coro::executor);
   boost::system::error_code error;
@@ -114,7 +126,7 @@
   if (error) {
     co_return false;
   }
-  http::request<http::string_body> request(http::verb::post, aPath, 11);
+  http::request<http::string_body> request(aVerb, aPath, 11);
   request.set(http::field::host, "node");
   request.body() = std::move(aBody);
   request.prepare_payload();
@@ -127,6 +139,34 @@
   co_return !error && response.result() == http::status::ok;
 }
 
+asio::awaitable<bool>
+PostToNode(State& aState, std::string aPath, std::string aBody)
+{
+  return CallNode(aState, http::verb::post, std::move(aPath), std::move(aBody));
+}
+
+asio::awaitable<bool>
+SendReport(State& aState)
+{
+  const json::object report = {
+    { "address", ToString(aState.m_own) },
+    { "born", aState.m_born },
+    { "info",
+      json::object{ { "service", FLAGS_service },
+                    { "version", "v1" },
+                    { "zone", "zone" },
+                    { "slots", FLAGS_slots } } },
+    { "status",
+      json::object{ { "state", aState.m_draining ? "draining" : "ready" },
+                    { "sequence", ++aState.m_sequence },
+                    { "coldLeftMs", 0 } } },
+  };
+  return CallNode(aState,
+                  http::verb::put,
+                  "/-/instances/" + FLAGS_id,
+                  json::serialize(report));
+}
+
 // Announces again and again, so that a restarted node learns of the target.
 asio::awaitable<void>
 Announce(State& aState, uint64_t aIncarnation)
@@ -137,7 +177,11 @@
                               { "incarnation", aIncarnation } };
   asio::steady_timer timer(co_await asio::this_coro::executor);
   while (true) {
-    co_await PostToNode(aState, "/v1/target/announce", json::serialize(body));
+    if (FLAGS_platform) {
+      co_await SendReport(aState);
+    } else {
+      co_await PostToNode(aState, "/v1/target/announce", json::serialize(body));
+    }
     timer.expires_after(kAnnounceInterval);
     co_await timer.async_wait(asio::use_awaitable);
   }
@@ -176,6 +220,10 @@
   if (aPath == "/standin/crash") {
     std::_Exit(134);
   }
+  if (aPath == "/standin/drain" && FLAGS_platform) {
+    aState.m_draining = true;
+    co_return co_await SendReport(aState) ? "ok" : "no ack";
+  }
   if (aPath == "/standin/drain" || aPath == "/standin/cold") {
     const std::string action = aPath.substr(aPath.rfind('/'));
     co_await PostToNode(aState, "/v1/target" + action, "");
@@ -196,7 +244,7 @@
 IdentityOf(const http::fields& aFields)
 {
   for (const std::string_view name :
-       { std::string_view("X-Identity"), kKeyHeader, kRequestIdHeader }) {
+       { std::string_view("X-Identity"), kAttemptHeader, kRequestIdHeader }) {
     const auto found = aFields.find(name);
     if (found != aFields.end()) {
       return std::string(found->value());
@@ -247,11 +295,13 @@
                               std::string aBody,
                               bool aShed,
                               bool aHeadOnly = false);
+  void AddPlatformFields(http::fields& aFields, unsigned aStatus, bool aShed);
 
   beast::tcp_stream m_stream;
   beast::flat_buffer m_buffer;
   State& m_state;
   bool m_truncateNext = false; // the answer to the current request
+  std::string m_attempt;       // id of the current request on the platform
 };
 
 asio::awaitable<bool>
@@ -295,6 +345,9 @@
     m_state.m_cancelled.insert(path.substr(kCancel.size()));
     co_return co_await Reply(200, "cancelled", false);
   }
+  if (FLAGS_platform && path == "/healthz") {
+    co_return co_await Reply(m_state.m_draining ? 503 : 200, "", false);
+  }
   if (path.starts_with("/standin/")) {
     const std::string text = co_await RunCommand(m_state, path);
     co_return co_await Reply(200, text, false);
@@ -308,6 +361,11 @@
 {
   const Faults faults = m_state.m_faults;
   ++m_state.m_requests;
+  m_attempt = std::string(aRequest[kAttemptHeader]);
+  const std::string expected(aRequest[kExpectHeader]);
+  if (!expected.empty() && expected != FLAGS_id) {
+    co_return co_await Reply(421, "another instance", false);
+  }
   if (faults.m_shed != 0) {
     co_return co_await Reply(503, "shed", true);
   }
@@ -356,6 +414,9 @@
   if (aShed) {
     response.set(kShedHeader, "1");
   }
+  if (FLAGS_platform) {
+    AddPlatformFields(response, aStatus, aShed);
+  }
   response.body() = std::move(aBody);
   response.prepare_payload();
   const bool truncate = m_truncateNext;
@@ -365,9 +426,33 @@
   }
   boost::system::error_code error;
   co_await http::async_write(m_stream, response, Redirect(error));
+  if (m_state.m_faults.m_extraAnswer != 0 && !m_attempt.empty()) {
+    co_await http::async_write(m_stream, response, Redirect(error));
+  }
   co_return !error && !truncate;
 }
 
+void
+TargetConnection::AddPlatformFields(http::fields& aFields,
+                                    unsigned aStatus,
+                                    bool aShed)
+{
+  aFields.set(kInstanceHeader, FLAGS_id);
+  aFields.set(kLoadHeader,
+              std::to_string(m_state.m_inUse) + ",0," +
+                std::to_string(FLAGS_slots) + "," +
+                std::to_string(m_state.m_faults.m_slowness));
+  aFields.set(http::field::keep_alive, "timeout=10");
+  if (!m_attempt.empty()) {
+    aFields.set(kAttemptHeader, m_attempt);
+  }
+  if (aShed) {
+    aFields.set(kNotRunHeader, "1");
+  } else if (aStatus != 421) {
+    aFields.set(kStampHeader, "stamp");
+  }
+}
+
 asio::awaitable<void>
 Accept(tcp::acceptor& aAcceptor, State& aState)
 {
@@ -406,11 +491,13 @@
       std::cerr << "standin_target: --control must be IP:port\n";
       return 2;
     }
+    const auto now = SystemClock().WallNow().time_since_epoch();
     uint64_t incarnation = FLAGS_incarnation;
     if (incarnation == 0) {
-      const auto now = SystemClock().WallNow().time_since_epoch();
       incarnation = static_cast<uint64_t>(now.count());
     }
+    state.m_born = static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
     asio::co_spawn(context, Announce(state, incarnation), asio::detached);
   }
   asio::signal_set signals(context, SIGTERM, SIGINT);
