Charge the retry budget for attempts that the target itself turned away

Cause: an attempt that a target sheds, or that meets another target at the address, has arrived there, but it cost the budget no more than a refusal by the node beside the target, which costs nothing.

Ruled out: calls made by repeated requests (the trace shows four arrivals of one request, each shed).

--- a/bench/ledger_cost.cpp
+++ b/bench/ledger_cost.cpp
@@ -49,7 +49,7 @@
     static_cast<double>(HeapBytes() - before) /
     static_cast<double>(ledger->Size());
   uint64_t next = calls;
-  for (auto _ : aState) {
+  for (auto _ : aState) { // NOLINT(clang-analyzer-deadcode.DeadStores)
     RunCall(*ledger, next++, now += kBetween);
   }
 }
--- a/src/retry/retry.cpp
+++ b/src/retry/retry.cpp
@@ -47,6 +47,14 @@
   }
 }
 
+// Whether a refusal came from the target itself, so that the attempt arrived
+// there, and not from the node beside it.
+bool
+ReachedTarget(ResultCode aCode)
+{
+  return aCode == ResultCode::TargetShed || aCode == ResultCode::WrongTarget;
+}
+
 struct Budget
 {
   double m_tokens = 0;
@@ -175,7 +183,9 @@
   if (aAttempt.m_remaining < decision.m_delay + aAttempt.m_expected) {
     return Stop(RetryReason::NoTime);
   }
-  if (!Take(aAttempt.m_service, m_settings.m_refusalCost)) {
+  const double cost =
+    ReachedTarget(aAttempt.m_code) ? 1 : m_settings.m_refusalCost;
+  if (!Take(aAttempt.m_service, cost)) {
     return Stop(RetryReason::Budget);
   }
   // Below an attempt that may have run, the retry stays spent.
--- a/tests/unit/retry_test.cpp
+++ b/tests/unit/retry_test.cpp
@@ -164,4 +164,31 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(an_attempt_that_the_target_turned_away)
+
+// Guards against more arrivals at the targets than the budget allows: one that
+// a target turns away has reached it all the same, unlike a refusal of the node
+// beside it.
+BOOST_AUTO_TEST_CASE(costs_as_much_as_one_that_ran)
+{
+  SeededRandom random{ 3 };
+  RetrySettings settings;
+  settings.m_reserve = 1;
+  settings.m_share = 0;
+  settings.m_refusalCost = 0;
+  const auto policy = MakeRetryPolicy(settings, random);
+  RetryAttempt refused = RefusedWrite(1);
+  for (int i = 0; i < 10; ++i) {
+    BOOST_CHECK(policy->Decide(refused).m_action != RetryAction::Stop);
+  }
+  RetryAttempt shed = RefusedWrite(1);
+  shed.m_code = ResultCode::TargetShed;
+  BOOST_CHECK(policy->Decide(shed).m_action != RetryAction::Stop);
+  BOOST_CHECK(policy->Decide(shed).m_reason == RetryReason::Budget);
+  shed.m_code = ResultCode::WrongTarget;
+  BOOST_CHECK(policy->Decide(shed).m_reason == RetryReason::Budget);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
