Begin no work while the target states that it is slow

The statement changes in steps of 150 ms.

The entry node asks up to two targets to begin at once; the next one may queue the request until the spell ends. A statement expires after 250 ms. The limit of requests in flight is the number at which most gets done, learnt for each target.

--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -27,7 +27,8 @@
   uint8_t m_priority = 100; // higher is more important; by service settings
   // Past it the answer is worth little; max(): no latency objective.
   TimePoint m_goal = TimePoint::max();
-  uint32_t m_class = 0; // requests of one class take similar work
+  uint32_t m_class = 0;   // requests of one class take similar work
+  bool m_mayQueue = true; // else refused when it cannot start at once
 };
 
 enum class AdmissionVerdict : uint8_t
@@ -124,7 +125,9 @@
   // Requests per second that the target bears while it is cold; 0: unknown.
   virtual void SetColdRate(double /*aPerSecond*/) {}
   // Time that work takes at this moment, in % of the usual.
-  virtual void SetSlowness(uint32_t /*aPercent*/) {}
+  virtual void SetSlowness(uint32_t /*aPercent*/, TimePoint /*aNow*/) {}
+  // True while queued calls wait for a better word about the slowness.
+  virtual bool WaitsForSlowness() const { return false; }
 
   // Typical service time of warm targets of the same service, from their load
   // reports. A target without a history of its own is then warm only when it
@@ -157,8 +160,10 @@
 std::unique_ptr<Admission>
 MakeAdmission(AdmissionSettings aSettings);
 
-// For targets that state their cold starts and their load: the limit is the
-// number of slots, and a cold target gets requests at the stated rate.
+// For targets that state their cold starts and their load. A cold target gets
+// requests at the stated rate. How long work takes is settled when it begins,
+// so nothing begins while the target states that it is slow, and the limit is
+// the number of requests at which the target gets most done.
 std::unique_ptr<Admission>
 MakeStatedAdmission(AdmissionSettings aSettings);
 
--- a/src/admission/stated_admission.cpp
+++ b/src/admission/stated_admission.cpp
@@ -15,9 +15,19 @@
 constexpr Duration kRateWindow = std::chrono::seconds(1);
 // Weight of one completion in what is typical of its class.
 constexpr double kTypicalGain = 0.05;
-// Share of the stated slowness that counts for work that begins now: spells of
-// slowness are shorter than most work, so the later part runs at usual speed.
-constexpr double kSlownessShare = 0.5;
+// Slowness from which on a request waits or goes elsewhere: what runs then
+// takes longer than a spell of slowness lasts.
+constexpr uint32_t kSlowPercent = 160;
+// A statement that the target is slow counts no longer than this: when no newer
+// one comes, nothing is known.
+constexpr Duration kSlowValid = std::chrono::milliseconds(250);
+// Weight of one completion in the time at its concurrency; low, because single
+// times differ by a factor of two.
+constexpr double kCurveGain = 0.05;
+// A limit below the slots has to promise this much more throughput.
+constexpr double kCurveBenefit = 1.07;
+// One start in so many may exceed the limit, to learn whether it still holds.
+constexpr uint64_t kCurveExplore = 48;
 
 double
 ToSeconds(Duration aDuration)
@@ -52,7 +62,11 @@
   void SetCold(TimePoint aNow) override;
   void SetColdFor(Duration aLeft, TimePoint aNow) override;
   void SetColdRate(double aPerSecond) override { m_coldRate = aPerSecond; }
-  void SetSlowness(uint32_t aPercent) override { m_slowness = aPercent; }
+  void SetSlowness(uint32_t aPercent, TimePoint aNow) override;
+  bool WaitsForSlowness() const override
+  {
+    return IsSlow() && !m_queue.empty() && HasFreeSlot();
+  }
   AdmissionResult Offer(const AdmissionRequest& aRequest,
                         TimePoint aNow) override;
   std::vector<AdmissionEvent> Finish(const CallId& aCall,
@@ -68,11 +82,15 @@
   {
     uint64_t m_generation = 0;
     uint32_t m_class = 0;
+    uint32_t m_concurrency = 0; // with this request, when it began
+    bool m_slow = false;        // the target was slow when it began
   };
 
   ResultCode Closed() const;
   bool IsCold() const { return m_now < m_coldUntil; }
-  bool HasFreeSlot() const;
+  bool IsSlow() const { return m_now < m_slowUntil; }
+  bool HasFreeSlot() const { return m_inFlight < m_limit; }
+  bool CanStart() const { return HasFreeSlot() && HasColdToken() && !IsSlow(); }
   bool HasColdToken() const;
   bool IsKnown(const CallId& aCall) const;
   Duration Expected(uint32_t aClass) const;
@@ -81,7 +99,8 @@
   bool GoesBefore(const AdmissionRequest& aLeft,
                   const AdmissionRequest& aRight) const;
   AdmissionResult Enqueue(const AdmissionRequest& aRequest);
-  void Learn(uint32_t aClass, const Outcome& aOutcome);
+  void Learn(const Running& aRequest, const Outcome& aOutcome);
+  void ChooseLimit();
   void Start(const AdmissionRequest& aRequest);
   void Refuse(const CallId& aCall, ResultCode aCode)
   {
@@ -102,8 +121,13 @@
   uint64_t m_generation = 0; // counts the processes behind this target
   uint32_t m_inFlight = 0;   // of the current generation
   uint32_t m_slots = 0;
+  uint32_t m_limit = 0;        // requests in flight, at most the slots
+  std::vector<double> m_curve; // time at 1, 2, ... in flight, against typical
+  uint64_t m_startCount = 0;
+
   uint32_t m_slowness = 100;
-  double m_coldRate = 0; // requests per second; 0: not stated
+  TimePoint m_slowUntil{}; // the last statement that it is slow counts
+  double m_coldRate = 0;   // requests per second; 0: not stated
   TimePoint m_coldUntil{};
   bool m_zoneOut = false;
   TimePoint m_now{}; // latest time seen
@@ -128,13 +152,18 @@
                            TimePoint aNow)
 {
   Advance(aNow);
-  m_slots = aSlots;
+  if (aSlots != m_slots) {
+    m_slots = aSlots;
+    m_curve.assign(aSlots, 1.0);
+    m_limit = aSlots;
+  }
   // A target that was wrongly taken for lost still works on what it has.
   const bool sameProcess = m_life.Incarnation() == aIncarnation;
   if (m_life.Announce(aIncarnation) && !sameProcess) {
     ++m_generation;
     m_inFlight = 0;
     m_slowness = 100;
+    m_slowUntil = {};
   }
 }
 
@@ -187,6 +216,14 @@
   }
 }
 
+void
+StatedAdmission::SetSlowness(uint32_t aPercent, TimePoint aNow)
+{
+  Advance(aNow);
+  m_slowness = aPercent;
+  m_slowUntil = aPercent >= kSlowPercent ? m_now + kSlowValid : TimePoint();
+}
+
 ResultCode
 StatedAdmission::Closed() const
 {
@@ -208,9 +245,7 @@
 StatedAdmission::Expected(uint32_t aClass) const
 {
   const auto found = m_typical.find(aClass);
-  const double usual = found == m_typical.end() ? m_mean : found->second;
-  const double excess = std::max(0.0, m_slowness / 100.0 - 1);
-  return FromSeconds(usual * (1 + kSlownessShare * excess));
+  return FromSeconds(found == m_typical.end() ? m_mean : found->second);
 }
 
 // Time until a slot is free for the request, behind those that go before it.
@@ -223,7 +258,7 @@
       work += ToSeconds(Expected(other.m_class));
     }
   }
-  return FromSeconds(work / std::max(1U, m_slots));
+  return FromSeconds(work / std::max(1U, m_limit));
 }
 
 bool
@@ -252,31 +287,50 @@
 }
 
 void
-StatedAdmission::Learn(uint32_t aClass, const Outcome& aOutcome)
+StatedAdmission::Learn(const Running& aRequest, const Outcome& aOutcome)
 {
-  if (aOutcome.m_end != ServiceEnd::Completed &&
-      aOutcome.m_end != ServiceEnd::Error) {
-    return;
+  const bool whole = aOutcome.m_end == ServiceEnd::Completed ||
+                     aOutcome.m_end == ServiceEnd::Error;
+  if (!whole || aRequest.m_slow) {
+    return; // says nothing about the usual time
   }
   const double took = ToSeconds(aOutcome.m_serviceTime);
-  const auto learn = [took](double& aTypical) {
-    aTypical =
-      aTypical <= 0 ? took : aTypical + kTypicalGain * (took - aTypical);
+  double& typical = m_typical[aRequest.m_class];
+  double factor = 1; // up to half of the slots, by definition
+  if (aRequest.m_concurrency > m_slots / 2 && typical > 0 &&
+      aRequest.m_concurrency <= m_curve.size()) {
+    double& known = m_curve[aRequest.m_concurrency - 1];
+    known += kCurveGain * (took / typical - known);
+    factor = known;
+    ChooseLimit();
+  }
+  const auto learn = [](double& aMean, double aSample) {
+    aMean = aMean <= 0 ? aSample : aMean + kTypicalGain * (aSample - aMean);
   };
-  learn(m_typical[aClass]);
-  learn(m_mean);
+  learn(typical, took / factor);
+  learn(m_mean, took);
+}
+
+// Some targets work much slower when they are nearly full: then fewer requests
+// at once get more done.
+void
+StatedAdmission::ChooseLimit()
+{
+  m_limit = m_slots;
+  double most = m_slots / m_curve.back() * kCurveBenefit;
+  for (uint32_t count = m_slots - 1; count > m_slots / 2; --count) {
+    const double done = count / m_curve[count - 1];
+    if (done > most) {
+      most = done;
+      m_limit = count;
+    }
+  }
 }
 
 //-----------------------------------------------------------------------------
 // Offer
 //-----------------------------------------------------------------------------
 
-bool
-StatedAdmission::HasFreeSlot() const
-{
-  return m_inFlight < m_slots;
-}
-
 bool
 StatedAdmission::HasColdToken() const
 {
@@ -315,10 +369,14 @@
   if (!HasColdToken()) {
     return { AdmissionVerdict::Refused, ResultCode::TargetCold };
   }
-  if (HasFreeSlot() && m_queue.empty()) {
+  if (CanStart() && m_queue.empty()) {
     Start(aRequest);
     return { AdmissionVerdict::Admitted, ResultCode::Ok };
   }
+  if (!aRequest.m_mayQueue) {
+    return { AdmissionVerdict::Refused,
+             IsSlow() ? ResultCode::TargetSlow : ResultCode::Overloaded };
+  }
   return Enqueue(aRequest);
 }
 
@@ -351,9 +409,15 @@
 StatedAdmission::Start(const AdmissionRequest& aRequest)
 {
   m_life.Start();
-  m_running.emplace(aRequest.m_call, Running{ m_generation, aRequest.m_class });
-  m_starts.push_back(m_now);
   ++m_inFlight;
+  m_running.emplace(
+    aRequest.m_call,
+    Running{ m_generation, aRequest.m_class, m_inFlight, IsSlow() });
+  m_starts.push_back(m_now);
+  ++m_startCount;
+  if (m_startCount % kCurveExplore == 0) {
+    m_limit = m_slots; // until the next completion
+  }
 }
 
 //-----------------------------------------------------------------------------
@@ -370,7 +434,7 @@
   if (found != m_running.end()) {
     if (found->second.m_generation == m_generation) {
       --m_inFlight;
-      Learn(found->second.m_class, aOutcome);
+      Learn(found->second, aOutcome);
     }
     m_running.erase(found);
   }
@@ -403,6 +467,7 @@
   if (!m_queue.empty() && HasFreeSlot()) {
     const bool waits = !HasColdToken() && !m_starts.empty();
     next = waits ? m_starts.front() + kRateWindow : m_now;
+    next = std::max(next, m_slowUntil);
   }
   for (const AdmissionRequest& request : m_queue) {
     next = std::min(next, request.m_deadline);
@@ -418,7 +483,7 @@
   report.m_inFlight = m_inFlight;
   report.m_queued = static_cast<uint32_t>(m_queue.size());
   report.m_slots = gone ? 0 : m_slots;
-  report.m_limit = report.m_slots;
+  report.m_limit = gone ? 0 : m_limit;
   report.m_cold = IsCold();
   report.m_leaving = m_life.State() == TargetState::Leaving;
   report.m_latency = FromSeconds(m_mean);
@@ -448,7 +513,7 @@
     }
     return expired;
   });
-  while (!m_queue.empty() && HasFreeSlot() && HasColdToken()) {
+  while (!m_queue.empty() && CanStart()) {
     const auto first = std::min_element(
       m_queue.begin(), m_queue.end(), [this](const auto& aL, const auto& aR) {
         return GoesBefore(aL, aR);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -167,6 +167,7 @@
   NodeStopping = 207,
   ShedByPriority = 208,
   NotReady = 209,
+  TargetSlow = 210,
   // 3xx: dispatched, then failed
   DeadlineExceeded = 301,
   TargetFailed = 302,
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+// Targets that are asked to start a request at once, before it queues at one.
+constexpr uint32_t kImmediateTries = 3;
+
 // What the attempts of one request have in common.
 struct Progress
 {
@@ -224,7 +227,15 @@
   }
   aHead.m_call = CallId{ m_origin, ++m_sequence };
   aProgress.m_route.m_remaining = aHead.m_remaining;
-  const RouteDecision decision = m_router->Choose(aProgress.m_route, now);
+  RouteDecision decision = m_router->Choose(aProgress.m_route, now);
+  aHead.m_mayQueue =
+    aProgress.m_refused + 1 >= kImmediateTries || decision.m_candidates <= 1;
+  if (decision.m_target == kNoTarget && aProgress.m_refused > 0) {
+    // Every target was asked once; those that were busy may take it to queue.
+    aProgress.m_route.m_excludedCount = 0;
+    aHead.m_mayQueue = true;
+    decision = m_router->Choose(aProgress.m_route, now);
+  }
   ++aProgress.m_attempts;
   LogRoute(aHead, decision, aProgress.m_attempts);
   if (decision.m_target == kNoTarget) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -260,7 +260,7 @@
   UpstreamSettings upstream;
   upstream.m_node = m_settings.m_node;
   upstream.m_nodeIncarnation = m_incarnation;
-  upstream.m_probeInterval = m_settings.m_probeInterval;
+  upstream.m_loadMaxAge = m_settings.m_loadMaxAge;
   if (OnPlatform()) {
     upstream.m_connectTimeout = std::chrono::milliseconds(250);
   }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -45,7 +45,7 @@
   Duration m_uploadTimeout{};
   Duration m_leaveDelay{};    // time for the news of leaving to spread
   Duration m_shutdownLimit{}; // from the signal to a forced end; 0: none
-  Duration m_probeInterval{}; // of the target's load; 0: no probes
+  Duration m_loadMaxAge{};    // of the target's stated load; 0: never asked
 };
 
 // Reads the flags; appends one sentence for each fault to aFaults.
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -65,10 +65,10 @@
               0,
               "ms from the first signal to a forced end of the process; 0: "
               "every exchange is finished, however long it takes");
-DEFINE_uint32(probe_interval_ms,
+DEFINE_uint32(load_max_age_ms,
               0,
-              "ms between two questions for the target's load; 0: none are "
-              "asked, the answers to calls carry it");
+              "ms after which the target is asked for its load before a "
+              "request begins; 0: it is never asked");
 
 namespace sassafrasquay {
 
@@ -191,8 +191,7 @@
   aSettings.m_leaveDelay = std::chrono::milliseconds(FLAGS_leave_delay_ms);
   aSettings.m_shutdownLimit =
     std::chrono::milliseconds(FLAGS_shutdown_limit_ms);
-  aSettings.m_probeInterval =
-    std::chrono::milliseconds(FLAGS_probe_interval_ms);
+  aSettings.m_loadMaxAge = std::chrono::milliseconds(FLAGS_load_max_age_ms);
 }
 
 } // namespace
@@ -275,7 +274,8 @@
     const std::string value =
       line.substr(equals + 1, line.find_last_not_of(" \t\r") - equals);
     if (!IsValid(name, value)) {
-      aFaults.push_back(place + "no such flag, or an invalid value: --" + name);
+      aFaults.push_back(place + "no such flag, or an invalid value: --");
+      aFaults.back() += name;
     }
     changes.emplace_back(name, value);
   }
--- a/src/peer/peer_client.cpp
+++ b/src/peer/peer_client.cpp
@@ -307,7 +307,7 @@
   if (error || reply == nullptr || frame.m_call != aRequest.m_call) {
     co_return std::nullopt;
   }
-  co_return std::move(*reply);
+  co_return *reply;
 }
 
 //-----------------------------------------------------------------------------
--- a/src/retry/retry.cpp
+++ b/src/retry/retry.cpp
@@ -30,6 +30,7 @@
     case ResultCode::ZoneOut:
     case ResultCode::TargetLeaving:
     case ResultCode::TargetCold:
+    case ResultCode::TargetSlow:
     case ResultCode::WrongTarget:
     case ResultCode::AnswerInvalid:
     case ResultCode::NodeStopping:
--- a/src/upstream/gateway.cpp
+++ b/src/upstream/gateway.cpp
@@ -2,6 +2,7 @@
 #include "logging/logging.h"
 #include "metrics/metrics.h"
 #include "quarantine/quarantine.h"
+#include "routing/routing.h"
 #include "upstream/target_client.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -88,6 +89,7 @@
   asio::awaitable<void> CheckTargetAlive(uint64_t aIncarnation);
   void RecordCrash();
   void TakeLoad(const std::optional<TargetLoad>& aLoad);
+  asio::awaitable<void> RefreshLoad();
   asio::awaitable<void> RunProbes();
   void ArmTick();
   void Deliver(const std::vector<AdmissionEvent>& aEvents);
@@ -111,6 +113,11 @@
   std::unique_ptr<Event> m_queued;      // a tick may be due earlier than before
   ServiceTraits m_traits;
   uint32_t m_slowness = 100; // as the target last stated it
+  TimePoint m_loadAt{};      // when it did
+  bool m_statesLoad = true;  // until a health answer comes without it
+  bool m_probing = false;
+  std::optional<ProbeBudget> m_probeBudget;
+  std::unique_ptr<Event> m_probed;
   uint32_t m_calls = 0;
   bool m_stopping = false;
 };
@@ -198,7 +205,13 @@
   m_changed = std::make_unique<Event>(m_executor);
   m_queued = std::make_unique<Event>(m_executor);
   asio::co_spawn(m_executor, RunTicks(), asio::detached);
-  if (m_settings.m_probeInterval > Duration::zero()) {
+  m_probed = std::make_unique<Event>(m_executor);
+  if (m_settings.m_loadMaxAge > Duration::zero()) {
+    ProbeBudgetSettings budget;
+    budget.m_perSecond = m_settings.m_probesPerSecond;
+    budget.m_burst = m_settings.m_probesPerSecond;
+    budget.m_perRequest = m_settings.m_probesPerRequest;
+    m_probeBudget.emplace(budget, m_clock->Now());
     asio::co_spawn(m_executor, RunProbes(), asio::detached);
   }
   co_return;
@@ -273,6 +286,7 @@
   request.m_deadline = aDeadline;
   request.m_priority = aHead.m_priority;
   request.m_class = aHead.m_routeClass;
+  request.m_mayQueue = aHead.m_mayQueue;
   if (aHead.m_goal > Duration::zero()) {
     request.m_goal = m_clock->Now() + aHead.m_goal;
   }
@@ -307,6 +321,9 @@
   Guard guard{ *this, aHead.m_call, waiter };
   m_waiting.emplace(aHead.m_call, &waiter);
   ArmTick();
+  if (m_admission->WaitsForSlowness()) {
+    m_queued->Notify();
+  }
   while (!waiter.m_verdict) {
     co_await waiter.m_event.Wait();
   }
@@ -386,6 +403,10 @@
   if (!m_target || m_target->m_service != aHead.m_service) {
     co_return RefuseQueued(aHead, ResultCode::NotReady);
   }
+  if (m_probeBudget) {
+    m_probeBudget->OnRequest();
+  }
+  co_await RefreshLoad();
   const AdmissionResult admitted = co_await Admit(aHead, deadline);
   if (admitted.m_verdict != AdmissionVerdict::Admitted) {
     co_return RefuseQueued(aHead, admitted.m_code);
@@ -580,31 +601,72 @@
 void
 Gateway::TakeLoad(const std::optional<TargetLoad>& aLoad)
 {
-  if (aLoad) {
-    m_slowness = std::max(1U, aLoad->m_slowness);
-    m_admission->SetSlowness(m_slowness);
+  if (!aLoad) {
+    return;
   }
+  m_loadAt = m_clock->Now();
+  m_slowness = std::max(1U, aLoad->m_slowness);
+  m_admission->SetSlowness(m_slowness, m_loadAt);
+  ArmTick();
 }
 
-// Keeps the target's own statement about its load fresh.
+// Asks the target for its load when its last word is too old; concurrent
+// callers wait for one answer.
+asio::awaitable<void>
+Gateway::RefreshLoad()
+{
+  const Duration maxAge = m_settings.m_loadMaxAge;
+  if (maxAge <= Duration::zero() || !m_target || !m_statesLoad ||
+      m_traits.m_healthPath.empty() || m_clock->Now() - m_loadAt < maxAge) {
+    co_return;
+  }
+  if (m_probing) {
+    co_await m_probed->Wait();
+    co_return;
+  }
+  if (!m_probeBudget->Take(m_clock->Now())) {
+    co_return;
+  }
+  // Wakes the others on every way out, also on cancellation.
+  struct Guard
+  {
+    Gateway& m_gateway;
+    explicit Guard(Gateway& aGateway)
+      : m_gateway(aGateway)
+    {
+      m_gateway.m_probing = true;
+    }
+    ~Guard()
+    {
+      m_gateway.m_probing = false;
+      m_gateway.m_probed->Notify();
+    }
+  };
+  const Guard guard(*this);
+  const TargetAnnouncement target = *m_target;
+  const std::optional<HealthFacts> health =
+    co_await m_client->Probe(target.m_address, m_traits.m_healthPath);
+  const bool same = health && m_target == target &&
+                    (health->m_id.empty() || health->m_id == target.m_id);
+  if (same) {
+    m_statesLoad = health->m_load.has_value();
+    TakeLoad(health->m_load);
+  }
+}
+
+// Watches for the end of a spell of slowness while requests wait for it.
 asio::awaitable<void>
 Gateway::RunProbes()
 {
   asio::steady_timer timer(m_executor);
   while (!m_stopping) {
-    timer.expires_after(m_settings.m_probeInterval);
-    co_await timer.async_wait(asio::use_awaitable);
-    if (!m_target || m_traits.m_healthPath.empty()) {
+    if (!m_admission->WaitsForSlowness()) {
+      co_await m_queued->Wait();
       continue;
     }
-    const TargetAnnouncement target = *m_target;
-    const std::optional<HealthFacts> health =
-      co_await m_client->Probe(target.m_address, m_traits.m_healthPath);
-    const bool same = health && m_target == target &&
-                      (health->m_id.empty() || health->m_id == target.m_id);
-    if (same) {
-      TakeLoad(health->m_load);
-    }
+    timer.expires_after(m_settings.m_loadMaxAge);
+    co_await timer.async_wait(asio::use_awaitable);
+    co_await RefreshLoad();
   }
 }
 
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -66,10 +66,13 @@
   Duration m_bodyIdle{ std::chrono::seconds(30) };       // between answer parts
   Duration m_idleConnection{ std::chrono::seconds(20) }; // pooled
   Duration m_cancelTimeout{ std::chrono::seconds(1) };
-  // Between two questions for the target's load, when it has a health path;
-  // zero: none are asked. The answers to calls carry the load as well, but too
-  // seldom for spells of slowness that last 100 ms or so.
-  Duration m_probeInterval{};
+  // The target is asked for its load before a request begins when its last word
+  // is older than this, and again and again while queued requests wait for a
+  // spell of slowness to end. Zero: it is never asked; the answers to calls
+  // carry the load as well, but too seldom for spells of 100 ms or so.
+  Duration m_loadMaxAge{};
+  double m_probesPerSecond = 40; // at most
+  double m_probesPerRequest = 4; // at most, in the mean
   Duration m_probeTimeout{ std::chrono::milliseconds(500) };
   Duration m_probeIdle{ std::chrono::milliseconds(700) }; // connection kept
   size_t m_maxIdle = 64;
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -106,6 +106,7 @@
   head.m_requestId = FromText(aIn.getRequestId());
   head.m_goal = DecodeSpan(aIn.getGoalNs());
   head.m_routeClass = aIn.getRouteClass();
+  head.m_mayQueue = aIn.getMayQueue();
   head.m_remaining = DecodeSpan(aIn.getRemainingNs());
   head.m_priority = aIn.getPriority();
   head.m_idempotent = aIn.getIdempotent();
--- a/src/wire/encode.cpp
+++ b/src/wire/encode.cpp
@@ -77,6 +77,7 @@
     out.setRequestId(ToText(aHead.m_requestId));
     out.setGoalNs(aHead.m_goal.count());
     out.setRouteClass(aHead.m_routeClass);
+    out.setMayQueue(aHead.m_mayQueue);
     out.setRemainingNs(aHead.m_remaining.count());
     out.setPriority(aHead.m_priority);
     out.setIdempotent(aHead.m_idempotent);
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -57,6 +57,7 @@
   body @15 :Data;
   ageNs @16 :Int64;
   routeClass @17 :UInt32;
+  mayQueue @18 :Bool = true;
 }
 
 struct AnswerHead {
--- a/tests/fuzz/stated_admission_fuzz.cpp
+++ b/tests/fuzz/stated_admission_fuzz.cpp
@@ -27,12 +27,16 @@
     switch (aStep % 16) {
       case 0:
         m_admission->SetTarget(kSlots, m_incarnation, m_now);
+        m_slowUntil = m_announced ? m_slowUntil : TimePoint();
+        m_announced = true;
         m_gone = false;
         break;
       case 1:
         m_admission->SetTarget(kSlots, ++m_incarnation, m_now);
+        m_announced = true;
         m_gone = m_leaving = false;
         m_running.clear();
+        m_slowUntil = {};
         break;
       case 2:
         m_admission->SetLeaving(true, m_now);
@@ -68,6 +72,10 @@
           m_queued.erase(call);
         }
         break;
+      case 12:
+        m_slowUntil = value % 2 == 0 ? m_now + 250ms : TimePoint();
+        m_admission->SetSlowness(value % 2 == 0 ? 500 : 100, m_now);
+        break;
       default:
         Offer(value);
     }
@@ -92,11 +100,13 @@
       request.m_goal = m_now + std::chrono::milliseconds(aValue % 300);
     }
     request.m_class = aValue % 4;
+    request.m_mayQueue = aValue % 7 != 0;
     const AdmissionResult result = m_admission->Offer(request, m_now);
     if (result.m_verdict == AdmissionVerdict::Admitted) {
       Started(request.m_call);
     } else if (result.m_verdict == AdmissionVerdict::Queued) {
       RC_ASSERT(IsOpen());
+      RC_ASSERT(request.m_mayQueue);
       m_queued.emplace(request.m_call, request.m_deadline);
     }
   }
@@ -131,6 +141,7 @@
   void Started(CallId aCall)
   {
     RC_ASSERT(IsOpen());
+    RC_ASSERT(m_now >= m_slowUntil);
     m_running.push_back(aCall);
     RC_ASSERT(m_running.size() <= kSlots);
     m_starts.push_back(m_now);
@@ -147,9 +158,11 @@
     MakeStatedAdmission(AdmissionSettings());
   TimePoint m_now{ 1000s };
   TimePoint m_coldUntil{};
+  TimePoint m_slowUntil{};
   uint64_t m_incarnation = 1;
   uint64_t m_next = 0;
   bool m_gone = true;
+  bool m_announced = false; // the present incarnation
   bool m_leaving = false;
   bool m_zoneOut = false;
   std::map<CallId, TimePoint> m_queued; // with their deadlines
@@ -163,8 +176,9 @@
 
 BOOST_AUTO_TEST_SUITE(under_any_sequence_of_events)
 
-// Guards against more work than slots, a cold target over its rate, work for a
-// target that takes none, and a queued call that is forgotten.
+// Guards against more work than slots, a cold target over its rate, work that
+// begins in a spell of slowness, work for a target that takes none, and a
+// queued call that is forgotten.
 BOOST_AUTO_TEST_CASE(the_target_gets_no_more_than_it_bears)
 {
   BOOST_TEST(rc::check("bounds hold", [] {
--- a/tests/unit/stated_admission_test.cpp
+++ b/tests/unit/stated_admission_test.cpp
@@ -114,6 +114,68 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_target_in_a_spell_of_slowness)
+
+// Guards against work that takes several times as long because it begins a
+// moment too early, while another target could begin it at once.
+BOOST_AUTO_TEST_CASE(begins_nothing_and_refuses_what_must_not_queue)
+{
+  m_admission->SetSlowness(500, kStart);
+  AdmissionRequest hurried = Request();
+  hurried.m_mayQueue = false;
+  const AdmissionResult refused = m_admission->Offer(hurried, kStart);
+  BOOST_CHECK(refused.m_code == ResultCode::TargetSlow);
+  BOOST_CHECK(Offer() == AdmissionVerdict::Queued);
+  BOOST_TEST(m_admission->WaitsForSlowness());
+  m_admission->SetSlowness(100, kStart + 50ms);
+  BOOST_TEST(m_admission->Tick(kStart + 50ms).size() == 1U);
+  BOOST_TEST(!m_admission->WaitsForSlowness());
+}
+
+// Guards against a target that is never used again because it says nothing
+// more about its load.
+BOOST_AUTO_TEST_CASE(is_used_again_when_its_word_has_expired)
+{
+  m_admission->SetSlowness(500, kStart);
+  BOOST_CHECK(Offer() == AdmissionVerdict::Queued);
+  const TimePoint next = m_admission->NextTick();
+  BOOST_TEST((next > kStart && next <= kStart + 1s));
+  BOOST_TEST(m_admission->Tick(next).size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_target_that_slows_down_when_it_is_nearly_full)
+
+// Guards against filling every slot where fewer requests at once get more done,
+// and against leaving slots empty where they do not.
+BOOST_AUTO_TEST_CASE(gets_the_number_of_requests_at_which_most_is_done)
+{
+  for (const bool slowsDown : { true, false }) {
+    const auto admission = MakeStatedAdmission(AdmissionSettings());
+    admission->SetTarget(6, 1, kStart);
+    for (int round = 0; round < 400; ++round) {
+      std::vector<CallId> calls;
+      const uint32_t count = 1 + static_cast<uint32_t>(round % 6);
+      for (uint32_t i = 0; i < count; ++i) {
+        const AdmissionRequest request = Request();
+        if (admission->Offer(request, kStart).m_verdict ==
+            AdmissionVerdict::Admitted) {
+          calls.push_back(request.m_call);
+        }
+      }
+      for (size_t i = 0; i < calls.size(); ++i) {
+        const bool full = i >= 4;
+        const Duration took = slowsDown && full ? 170ms : 100ms;
+        admission->Finish(calls[i], { ServiceEnd::Completed, took }, kStart);
+      }
+    }
+    BOOST_TEST(admission->Report(kStart).m_limit == (slowsDown ? 4U : 6U));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_cold_target)
 
 // Guards against more requests in a second than a cold target bears; requests
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -80,6 +80,7 @@
   head.m_requestId = "request";
   head.m_goal = 9ms;
   head.m_routeClass = 10;
+  head.m_mayQueue = false;
   head.m_identity = 15;
   head.m_remaining = 10s;
   head.m_priority = 11;
