Use a target that is slow all the time as it is; recover faster

And a restarted node waited for its target's next report (up to 1.5 s) and introduced itself to the others after 1.2 s.

Change: a spell is measured against the best statement of the last second. After its start a node asks the target it expects for its health; it reads the directory first and writes only when its entry is missing; on the platform the router has no ramp of its own for new targets, because the node beside the target bounds its share exactly.

Ruled out: the store (read within 20 ms of the start).

--- a/src/admission/stated_admission.cpp
+++ b/src/admission/stated_admission.cpp
@@ -15,9 +15,13 @@
 constexpr Duration kRateWindow = std::chrono::seconds(1);
 // Weight of one completion in what is typical of its class.
 constexpr double kTypicalGain = 0.05;
-// Slowness from which on a request waits or goes elsewhere: what runs then
-// takes longer than a spell of slowness lasts.
-constexpr uint32_t kSlowPercent = 160;
+// A request waits or goes elsewhere when work takes this many times as long as
+// at the best of the last moments. A target that is slow all the time, for
+// example in a cold start, is thus used as it is.
+constexpr double kSlowFactor = 1.6;
+constexpr uint32_t kUsualPercent = 100;
+// Spells end by then; a target that is still slow is slow for good.
+constexpr Duration kSlowWindow = std::chrono::seconds(1);
 // A statement that the target is slow counts no longer than this: when no newer
 // one comes, nothing is known.
 constexpr Duration kSlowValid = std::chrono::milliseconds(250);
@@ -101,6 +105,8 @@
   AdmissionResult Enqueue(const AdmissionRequest& aRequest);
   void Learn(const Running& aRequest, const Outcome& aOutcome);
   void ChooseLimit();
+  uint32_t BestSlowness() const;
+  void ForgetSlowness();
   void Start(const AdmissionRequest& aRequest);
   void Refuse(const CallId& aCall, ResultCode aCode)
   {
@@ -125,7 +131,8 @@
   std::vector<double> m_curve; // time at 1, 2, ... in flight, against typical
   uint64_t m_startCount = 0;
 
-  uint32_t m_slowness = 100;
+  uint32_t m_slowness = kUsualPercent;
+  std::deque<std::pair<TimePoint, uint32_t>> m_statements; // of the window
   TimePoint m_slowUntil{}; // the last statement that it is slow counts
   double m_coldRate = 0;   // requests per second; 0: not stated
   TimePoint m_coldUntil{};
@@ -162,8 +169,7 @@
   if (m_life.Announce(aIncarnation) && !sameProcess) {
     ++m_generation;
     m_inFlight = 0;
-    m_slowness = 100;
-    m_slowUntil = {};
+    ForgetSlowness();
   }
 }
 
@@ -208,9 +214,13 @@
 StatedAdmission::SetColdFor(Duration aLeft, TimePoint aNow)
 {
   Advance(aNow);
+  const bool wasCold = IsCold();
   m_coldUntil = m_now + aLeft;
   if (aLeft > Duration::zero()) {
     m_life.TurnCold();
+    if (!wasCold) {
+      ForgetSlowness(); // what it stated was about a warm target
+    }
   } else {
     m_life.WarmUp();
   }
@@ -221,7 +231,38 @@
 {
   Advance(aNow);
   m_slowness = aPercent;
-  m_slowUntil = aPercent >= kSlowPercent ? m_now + kSlowValid : TimePoint();
+  while (!m_statements.empty() &&
+         m_now - m_statements.front().first >= kSlowWindow) {
+    m_statements.pop_front();
+  }
+  if (m_statements.empty()) {
+    // Nothing to compare with: a warm target is expected at the usual speed.
+    const uint32_t best =
+      IsCold() ? aPercent : std::min(aPercent, kUsualPercent);
+    m_statements.emplace_back(m_now, best);
+  }
+  m_statements.emplace_back(m_now, aPercent);
+  const bool slow = aPercent >= kSlowFactor * BestSlowness();
+  m_slowUntil = slow ? m_now + kSlowValid : TimePoint();
+}
+
+uint32_t
+StatedAdmission::BestSlowness() const
+{
+  const auto best = std::min_element(m_statements.begin(),
+                                     m_statements.end(),
+                                     [](const auto& aLeft, const auto& aRight) {
+                                       return aLeft.second < aRight.second;
+                                     });
+  return best->second;
+}
+
+void
+StatedAdmission::ForgetSlowness()
+{
+  m_slowness = kUsualPercent;
+  m_slowUntil = {};
+  m_statements.clear();
 }
 
 ResultCode
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -179,6 +179,10 @@
   RouterSettings router;
   router.m_zone = m_settings.m_zone;
   router.m_region = m_settings.m_region;
+  if (OnPlatform()) {
+    // The node beside a new or cold target bounds its share exactly.
+    router.m_ramp = Duration::zero();
+  }
   const NodeRef self{ m_settings.m_node, m_incarnation };
   aKernel.Add("router", MakeRouter(router, *m_random));
   aKernel.Add("retry", MakeRetryPolicy(MakeRetrySettings(), *m_random));
@@ -221,8 +225,13 @@
   gossip.m_seeds = m_settings.m_seeds;
   if (OnPlatform()) {
     // A fleet of a few dozen nodes, where members come and go within seconds.
-    gossip.m_membership.m_retryPeriod = std::chrono::seconds(1);
-    gossip.m_membership.m_digestPeriod = std::chrono::seconds(3);
+    MembershipSettings& membership = gossip.m_membership;
+    membership.m_retryPeriod = std::chrono::seconds(1);
+    membership.m_digestPeriod = std::chrono::seconds(3);
+    membership.m_gossipPeriod = std::chrono::milliseconds(100);
+    membership.m_contactPeriod = std::chrono::milliseconds(20);
+    membership.m_bytesPerSecond = 20000;
+    membership.m_burstBytes = 6000;
   }
   gossip.m_key = MakeGossipKey(m_settings.m_peerKey);
   if (!m_settings.m_previousPeerKey.empty()) {
@@ -263,6 +272,10 @@
   upstream.m_loadMaxAge = m_settings.m_loadMaxAge;
   if (OnPlatform()) {
     upstream.m_connectTimeout = std::chrono::milliseconds(250);
+    if (m_settings.m_platform.m_target) {
+      upstream.m_expectedService = m_settings.m_platform.m_service;
+      upstream.m_expectedAddress = *m_settings.m_platform.m_target;
+    }
   }
   aKernel.Add("gateway", MakeGateway(upstream));
   m_target = aKernel.Find<TargetControl>("gateway");
@@ -304,6 +317,7 @@
   policy.m_node = m_settings.m_node;
   policy.m_zone = m_settings.m_zone;
   policy.m_declaration = m_settings.m_declaration;
+  policy.m_service = m_settings.m_platform.m_service;
   return policy;
 }
 
--- a/src/node/node_policy.cpp
+++ b/src/node/node_policy.cpp
@@ -275,10 +275,11 @@
   DeclaredPolicy::ApplyToTarget();
   const auto target = m_target->Target();
   const RouteTable* table = Routes();
-  if (!target || table == nullptr) {
+  if (table == nullptr) {
     return;
   }
-  const auto found = table->m_services.find(target->m_service);
+  const auto found =
+    table->m_services.find(target ? target->m_service : m_settings.m_service);
   if (found != table->m_services.end()) {
     m_target->SetTraits(found->second);
   }
--- a/src/node/node_policy.h
+++ b/src/node/node_policy.h
@@ -12,6 +12,7 @@
 {
   NodeId m_node;
   std::string m_zone;
+  std::string m_service;     // expected beside this node; may be empty
   Declaration m_declaration; // the built-in defaults when no file is given
   // Rules of the deployment about retries; zero: the declaration's share.
   double m_retryShare = 0;
--- a/src/node/seed_finder.cpp
+++ b/src/node/seed_finder.cpp
@@ -5,6 +5,7 @@
 #include "logging/logging.h"
 #include "store/store.h"
 
+#include <algorithm>
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -41,6 +42,7 @@
   std::unique_ptr<Event> m_ended;
   asio::cancellation_signal m_cancel;
   Duration m_backoff;
+  bool m_known = false; // the directory has an entry of this node
   bool m_running = false;
   bool m_stopping = false;
 };
@@ -88,22 +90,21 @@
 asio::awaitable<void>
 SeedFinder::FindPeers()
 {
-  bool published = false;
-  bool read = false;
-  while (!m_stopping && !(published && read)) {
-    if (!published) {
-      published = co_await PublishSelf();
-    }
-    if (published && !read) {
-      co_await m_ended->WaitFor(m_settings.m_settle);
-    }
-    if (!read) {
-      read = co_await ReadDirectory();
-    }
-    if (!published || !read) {
-      co_await Backoff();
-    }
+  bool listed = co_await ReadDirectory();
+  while (!listed && !m_stopping) {
+    co_await Backoff();
+    listed = co_await ReadDirectory();
+  }
+  if (m_known) {
+    co_return; // restarted: the entry of the process before is still there
+  }
+  bool published = co_await PublishSelf();
+  while (!published && !m_stopping) {
+    co_await Backoff();
+    published = co_await PublishSelf();
   }
+  co_await m_ended->WaitFor(m_settings.m_settle);
+  co_await ReadDirectory();
 }
 
 asio::awaitable<bool>
@@ -128,6 +129,9 @@
                   { { "nodes", static_cast<uint64_t>(listed.m_nodes.size()) },
                     { "error", listed.m_error.message() } });
   if (!listed.m_error) {
+    m_known = std::find(listed.m_nodes.begin(),
+                        listed.m_nodes.end(),
+                        m_settings.m_self) != listed.m_nodes.end();
     m_gossip->AddSeeds(listed.m_nodes);
   }
   co_return !listed.m_error;
--- a/src/node/seed_finder.h
+++ b/src/node/seed_finder.h
@@ -8,9 +8,9 @@
 struct SeedFinderSettings
 {
   Endpoint m_self; // peer address of this node
-  // Between the own entry and the reading of all: nodes that start together
-  // then find each other with one reading.
-  Duration m_settle{ std::chrono::milliseconds(700) };
+  // A node that is new to the directory reads it a second time after this:
+  // nodes that start together then find each other.
+  Duration m_settle{ std::chrono::milliseconds(500) };
   Duration m_timeout{ std::chrono::seconds(1) };
   Duration m_firstBackoff{ std::chrono::milliseconds(500) };
   Duration m_lastBackoff{ std::chrono::seconds(4) };
--- a/src/upstream/gateway.cpp
+++ b/src/upstream/gateway.cpp
@@ -72,6 +72,7 @@
   {
     LoadReport report = m_admission->Report(m_clock->Now());
     report.m_slowness = m_slowness;
+    report.m_incarnation = m_target ? m_target->m_incarnation : 0;
     return report;
   }
   Event& Changed() override { return *m_changed; }
@@ -89,6 +90,7 @@
   asio::awaitable<void> CheckTargetAlive(uint64_t aIncarnation);
   void RecordCrash();
   void TakeLoad(const std::optional<TargetLoad>& aLoad);
+  asio::awaitable<void> FindTarget();
   asio::awaitable<void> RefreshLoad();
   asio::awaitable<void> RunProbes();
   void ArmTick();
@@ -118,6 +120,7 @@
   bool m_probing = false;
   std::optional<ProbeBudget> m_probeBudget;
   std::unique_ptr<Event> m_probed;
+  uint64_t m_process = 0; // counts the targets that were announced
   uint32_t m_calls = 0;
   bool m_stopping = false;
 };
@@ -206,6 +209,9 @@
   m_queued = std::make_unique<Event>(m_executor);
   asio::co_spawn(m_executor, RunTicks(), asio::detached);
   m_probed = std::make_unique<Event>(m_executor);
+  if (!m_settings.m_expectedService.empty()) {
+    asio::co_spawn(m_executor, FindTarget(), asio::detached);
+  }
   if (m_settings.m_loadMaxAge > Duration::zero()) {
     ProbeBudgetSettings budget;
     budget.m_perSecond = m_settings.m_probesPerSecond;
@@ -540,9 +546,13 @@
   if (m_target == aTarget) {
     return {};
   }
+  const bool completes = m_target && m_target->m_id == aTarget.m_id &&
+                         m_target->m_incarnation == kUnknownIncarnation;
   m_target = aTarget;
-  m_admission->SetTarget(
-    aTarget.m_slots, aTarget.m_incarnation, m_clock->Now());
+  if (!completes) {
+    ++m_process;
+  }
+  m_admission->SetTarget(aTarget.m_slots, m_process, m_clock->Now());
   ArmTick();
   m_logger->Write(LogLevel::Info,
                   "target_announced",
@@ -557,10 +567,13 @@
 void
 Gateway::Drain()
 {
+  const bool before = m_admission->Report(m_clock->Now()).m_leaving;
   m_admission->SetLeaving(true, m_clock->Now());
   ArmTick();
-  m_logger->Write(LogLevel::Info, "target_draining", {});
-  m_changed->Notify();
+  if (!before) {
+    m_logger->Write(LogLevel::Info, "target_draining", {});
+    m_changed->Notify();
+  }
 }
 
 void
@@ -610,6 +623,36 @@
   ArmTick();
 }
 
+// Asks for the expected target after the node's start.
+asio::awaitable<void>
+Gateway::FindTarget()
+{
+  asio::steady_timer timer(m_executor);
+  const TimePoint end = m_clock->Now() + m_settings.m_discoveryTime;
+  while (!m_stopping && !m_target && m_clock->Now() < end) {
+    const std::string path = m_traits.m_healthPath;
+    std::optional<HealthFacts> health;
+    if (!path.empty()) {
+      health = co_await m_client->Probe(m_settings.m_expectedAddress, path);
+    }
+    const bool usable = health && health->m_healthy && health->m_load &&
+                        !health->m_id.empty() && !m_target;
+    if (usable) {
+      TargetAnnouncement target;
+      target.m_id = health->m_id;
+      target.m_service = m_settings.m_expectedService;
+      target.m_slots = health->m_load->m_slots;
+      target.m_address = m_settings.m_expectedAddress;
+      target.m_incarnation = kUnknownIncarnation;
+      Announce(target);
+      StateCold(health->m_coldLeft);
+      TakeLoad(health->m_load);
+    }
+    timer.expires_after(m_settings.m_discoveryPause);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
 // Asks the target for its load when its last word is too old; concurrent
 // callers wait for one answer.
 asio::awaitable<void>
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -16,6 +16,8 @@
 // [1] What the target says about itself
 //-----------------------------------------------------------------------------
 
+inline constexpr uint64_t kUnknownIncarnation = 0;
+
 struct TargetAnnouncement
 {
   std::string m_id; // of the target's process; may be empty
@@ -35,7 +37,8 @@
 {
 public:
   // InvalidHeader when a field is out of range; a repeated announcement of the
-  // same incarnation changes nothing.
+  // same incarnation changes nothing. kUnknownIncarnation stands for whichever
+  // incarnation the target with this id states later.
   virtual std::error_code Announce(const TargetAnnouncement& aTarget) = 0;
   virtual void Drain() = 0;
   // The target has ended or ends without having drained.
@@ -62,6 +65,14 @@
 {
   NodeId m_node;
   uint64_t m_nodeIncarnation = 0;
+  // The target that is expected beside this node. Until it has announced itself
+  // after the node's start, it is asked for its health: a restarted node then
+  // need not wait for the next announcement. Empty service: only announcements
+  // count.
+  std::string m_expectedService;
+  Endpoint m_expectedAddress;
+  Duration m_discoveryTime{ std::chrono::seconds(4) };
+  Duration m_discoveryPause{ std::chrono::milliseconds(150) };
   Duration m_connectTimeout{ std::chrono::milliseconds(500) };
   Duration m_bodyIdle{ std::chrono::seconds(30) };       // between answer parts
   Duration m_idleConnection{ std::chrono::seconds(20) }; // pooled
--- a/tests/fuzz/stated_admission_fuzz.cpp
+++ b/tests/fuzz/stated_admission_fuzz.cpp
@@ -27,7 +27,10 @@
     switch (aStep % 16) {
       case 0:
         m_admission->SetTarget(kSlots, m_incarnation, m_now);
-        m_slowUntil = m_announced ? m_slowUntil : TimePoint();
+        if (!m_announced) {
+          m_slowUntil = {};
+          m_stated.clear();
+        }
         m_announced = true;
         m_gone = false;
         break;
@@ -37,6 +40,7 @@
         m_gone = m_leaving = false;
         m_running.clear();
         m_slowUntil = {};
+        m_stated.clear();
         break;
       case 2:
         m_admission->SetLeaving(true, m_now);
@@ -47,6 +51,10 @@
         m_admission->SetZoneOut(m_zoneOut, m_now);
         break;
       case 4:
+        if (m_now >= m_coldUntil && value % 3000 > 0) {
+          m_stated.clear();
+          m_slowUntil = {};
+        }
         m_coldUntil = m_now + std::chrono::milliseconds(value % 3000);
         m_admission->SetColdFor(m_coldUntil - m_now, m_now);
         break;
@@ -73,8 +81,7 @@
         }
         break;
       case 12:
-        m_slowUntil = value % 2 == 0 ? m_now + 250ms : TimePoint();
-        m_admission->SetSlowness(value % 2 == 0 ? 500 : 100, m_now);
+        State(value % 3 == 0 ? 500 : value % 3 == 1 ? 200 : 100);
         break;
       default:
         Offer(value);
@@ -111,6 +118,24 @@
     }
   }
 
+  // The target is in a spell while it states much more than its best word of
+  // the last second.
+  void State(uint32_t aPercent)
+  {
+    std::erase_if(
+      m_stated, [this](const auto& aOne) { return m_now - aOne.first >= 1s; });
+    uint32_t best = aPercent;
+    if (m_stated.empty() && m_now >= m_coldUntil) {
+      m_stated.emplace_back(m_now, 100);
+    }
+    for (const auto& [at, percent] : m_stated) {
+      best = std::min(best, percent);
+    }
+    m_stated.emplace_back(m_now, aPercent);
+    m_slowUntil = aPercent >= 1.6 * best ? m_now + 250ms : TimePoint();
+    m_admission->SetSlowness(aPercent, m_now);
+  }
+
   void FinishOne(uint32_t aValue)
   {
     if (m_running.empty()) {
@@ -159,6 +184,7 @@
   TimePoint m_now{ 1000s };
   TimePoint m_coldUntil{};
   TimePoint m_slowUntil{};
+  std::vector<std::pair<TimePoint, uint32_t>> m_stated;
   uint64_t m_incarnation = 1;
   uint64_t m_next = 0;
   bool m_gone = true;
--- a/tests/unit/stated_admission_test.cpp
+++ b/tests/unit/stated_admission_test.cpp
@@ -145,6 +145,31 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_target_that_is_slow_all_the_time)
+
+// Guards against a target in its cold start, or one that stays slow, that gets
+// no work at all.
+BOOST_AUTO_TEST_CASE(is_used_as_it_is)
+{
+  m_admission->SetColdFor(5s, kStart);
+  m_admission->SetColdRate(100);
+  m_admission->SetSlowness(200, kStart);
+  BOOST_CHECK(Offer() == AdmissionVerdict::Admitted);
+  m_admission->SetSlowness(1000, kStart + 50ms);
+  BOOST_CHECK(Offer(kStart + 50ms) == AdmissionVerdict::Queued);
+
+  const auto warm = MakeStatedAdmission(AdmissionSettings());
+  warm->SetTarget(2, 1, kStart);
+  TimePoint now = kStart;
+  for (; now < kStart + 2s; now += 100ms) {
+    warm->SetSlowness(400, now);
+  }
+  BOOST_CHECK(warm->Offer(Request(), now).m_verdict ==
+              AdmissionVerdict::Admitted);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_target_that_slows_down_when_it_is_nearly_full)
 
 // Guards against filling every slot where fewer requests at once get more done,
