Log through a bounded buffer that never blocks; explain each failed attempt

Cause: lines went to standard output with blocking writes and without a bound, so a reader that stops reading would have stopped the node.

Change: easylogging++ formats, and a buffer of 256 KiB passes on what the descriptor takes at once; a quarter of it is kept for warnings and errors, and dropped lines are counted and reported. Lines about decisions are bounded per second. Each attempt without an answer gets a line (result, what is known of its run, the retry decision and its reason, the budget); placement lines carry the stated slowness and its age; failures carry the position of the published state. A histogram holds the time of whole requests.

--- a/src/call/call.h
+++ b/src/call/call.h
@@ -114,6 +114,7 @@
   bool m_hasLoad = false;
   LoadReport m_load;
   Duration m_latency{};     // to the start of the answer
+  Duration m_total{};       // of the whole request, at the entry node
   bool m_linkFault = false; // a silent or stale link, not the target's doing
   Duration m_retryAfter{};  // after a refusal: when a further try makes sense
 };
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -130,6 +130,9 @@
   void LogRoute(const RequestHead& aHead,
                 const RouteDecision& aDecision,
                 uint32_t aAttempt);
+  void LogRetry(const RequestHead& aHead,
+                const Progress& aProgress,
+                const RetryDecision& aDecision);
 
   DispatchSettings m_settings;
   uint64_t m_origin;
@@ -248,6 +251,7 @@
   }
   Count(aHead, decision.m_target, aProgress);
   const RetryDecision retry = DecideRetry(aHead, aProgress);
+  LogRetry(aHead, aProgress, retry);
   if (retry.m_action == RetryAction::Stop) {
     co_return false;
   }
@@ -387,6 +391,31 @@
                     { "remaining_ms", aHead.m_remaining } });
 }
 
+// One line for each attempt that did not give an answer.
+void
+Dispatcher::LogRetry(const RequestHead& aHead,
+                     const Progress& aProgress,
+                     const RetryDecision& aDecision)
+{
+  const CallResult& last = aProgress.m_last;
+  if (last.m_code == ResultCode::Ok || !m_logger->WantsDecision()) {
+    return;
+  }
+  m_logger->Write(
+    LogLevel::Info,
+    "retry",
+    { { "id", aHead.m_requestId },
+      { "call", ToString(aHead.m_call) },
+      { "result", RowOf(last.m_code).m_name },
+      { "run", ToString(last.m_run) },
+      { "again", aDecision.m_action != RetryAction::Stop },
+      { "reason", ToString(aDecision.m_reason) },
+      { "may_have_run", aProgress.m_dispatched },
+      { "refused", aProgress.m_refused },
+      { "tokens", m_retry->Tokens(aHead.m_service) },
+      { "remaining_ms", aProgress.m_deadline - m_clock->Now() } });
+}
+
 } // namespace
 
 std::shared_ptr<Service>
--- a/src/frontend/caller_connection.cpp
+++ b/src/frontend/caller_connection.cpp
@@ -421,7 +421,9 @@
     body.ExpectContinue();
   }
   CallerAnswer answer(m_stream, m_shared.m_settings, keepAlive);
+  const TimePoint started = m_shared.m_clock->Now();
   result = co_await Call(head, body, answer);
+  result.m_total = m_shared.m_clock->Now() - started;
   m_shared.m_onResult(head, result);
   keepAlive = keepAlive && body.IsComplete() && !m_shared.m_stopping;
   if (answer.IsStarted()) {
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -124,6 +124,11 @@
   // A caller chooses the Host header; only known names become a label.
   const bool known = aResult.m_code == ResultCode::Ok || aResult.m_hasLoad;
   const std::string service = known ? aHead.m_service : "other";
+  m_metrics
+    ->Histogram("sassafrasquay_request_seconds",
+                "Time from a request's head to the end of its answer.",
+                { { "service", service } })
+    .Observe(aResult.m_total);
   m_metrics
     ->Counter("sassafrasquay_requests_total",
               "Requests of callers by result code.",
@@ -137,7 +142,9 @@
                       { "method", aHead.m_method },
                       { "result", code },
                       { "name", RowOf(aResult.m_code).m_name },
-                      { "run", ToString(aResult.m_run) } });
+                      { "run", ToString(aResult.m_run) },
+                      { "remaining_ms", aHead.m_remaining },
+                      { "config", m_shared.m_policy->Version() } });
   }
 }
 
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -34,6 +34,8 @@
                                           std::optional<Duration> aAsked) = 0;
   // Published limits; they go before those of the settings.
   virtual CallerLimits Limits() const { return {}; }
+  // Position of the published state in force; 0: none.
+  virtual uint64_t Version() const = 0;
 };
 
 // The service "frontend". Finds "call_policy" and "caller_dialect"; requires
--- a/src/logging/logging.cpp
+++ b/src/logging/logging.cpp
@@ -4,8 +4,11 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/string.hpp>
 #include <boost/json/value.hpp>
+#include <cerrno>
 #include <cstdio>
 #include <easylogging++.h>
+#include <poll.h>
+#include <unistd.h>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -64,22 +67,88 @@
 {
 }
 
+//-----------------------------------------------------------------------------
+// Output
+//-----------------------------------------------------------------------------
+
+void
+LogOutput::Add(std::string_view aLine, bool aIsImportant)
+{
+  const size_t most = aIsImportant ? m_capacity : m_capacity - m_reserved;
+  if (m_buffer.size() + aLine.size() > most) {
+    ++m_dropped;
+    return;
+  }
+  m_buffer += aLine;
+}
+
+void
+LogOutput::Flush()
+{
+  size_t written = 0;
+  while (written < m_buffer.size()) {
+    pollfd ready{ m_descriptor, POLLOUT, 0 };
+    if (::poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0) {
+      break; // the reader does not keep up
+    }
+    const size_t size = std::min(kFlushBytes, m_buffer.size() - written);
+    const auto count = ::write(m_descriptor, m_buffer.data() + written, size);
+    if (count < 0 && errno != EINTR) {
+      break;
+    }
+    written += count > 0 ? static_cast<size_t>(count) : 0;
+  }
+  m_buffer.erase(0, written);
+}
+
+uint64_t
+LogOutput::TakeDropped()
+{
+  return std::exchange(m_dropped, 0);
+}
+
 namespace {
 
+constexpr size_t kOutputBytes = 256 * 1024;
+constexpr size_t kReservedBytes = 64 * 1024; // for warnings and errors
+constexpr Duration kReportInterval = std::chrono::seconds(1);
+
+LogOutput&
+StandardOutput()
+{
+  static LogOutput output(STDOUT_FILENO, kOutputBytes, kReservedBytes);
+  return output;
+}
+
+// Takes the lines that easylogging++ has formatted.
+class OutputCallback : public el::LogDispatchCallback
+{
+protected:
+  void handle(const el::LogDispatchData* aData) override // NOLINT: its name
+  {
+    const el::LogMessage* message = aData->logMessage();
+    const el::Level level = message->level();
+    const bool important =
+      level == el::Level::Warning || level == el::Level::Error;
+    StandardOutput().Add(message->logger()->logBuilder()->build(message, true),
+                         important);
+    if (important || StandardOutput().IsWorthAFlush()) {
+      StandardOutput().Flush();
+    }
+  }
+};
+
 class EasyLogger : public Logger
 {
 public:
-  EasyLogger(LoggerSettings aSettings, Random& aRandom);
+  EasyLogger(LoggerSettings aSettings, Random& aRandom, const Clock& aClock);
+  ~EasyLogger() override { StandardOutput().Flush(); }
 
   void Write(LogLevel aLevel,
              std::string_view aEvent,
              std::initializer_list<LogField> aFields) override;
-  bool WantsDecision() override
-  {
-    return m_settings.m_level <= LogLevel::Info &&
-           (m_settings.m_decisionSample >= 1.0 ||
-            m_random.Unit() < m_settings.m_decisionSample);
-  }
+  bool WantsDecision() override;
+  void Flush() override;
   void SetLevel(LogLevel aLevel) override { m_settings.m_level = aLevel; }
   void SetDecisionSample(double aShare) override
   {
@@ -91,12 +160,20 @@
 
   LoggerSettings m_settings;
   Random& m_random;
+  const Clock& m_clock;
+  TimePoint m_second{};      // start of the current second
+  uint32_t m_decisions = 0;  // written in it
+  uint64_t m_suppressed = 0; // beyond the bound, not yet reported
+  TimePoint m_reported{};
   std::string m_line; // reused, so that a line costs no allocation of its own
 };
 
-EasyLogger::EasyLogger(LoggerSettings aSettings, Random& aRandom)
+EasyLogger::EasyLogger(LoggerSettings aSettings,
+                       Random& aRandom,
+                       const Clock& aClock)
   : m_settings(aSettings)
   , m_random(aRandom)
+  , m_clock(aClock)
 {
   el::Configurations configuration;
   configuration.setToDefault();
@@ -107,8 +184,50 @@
                                  "level=%level %msg";
   configuration.setGlobally(el::ConfigurationType::Format, format);
   configuration.setGlobally(el::ConfigurationType::ToFile, "false");
-  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
   el::Loggers::reconfigureAllLoggers(configuration);
+  el::Helpers::uninstallLogDispatchCallback<
+    el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+  el::Helpers::installLogDispatchCallback<OutputCallback>("OutputCallback");
+}
+
+bool
+EasyLogger::WantsDecision()
+{
+  const bool sampled = m_settings.m_level <= LogLevel::Info &&
+                       (m_settings.m_decisionSample >= 1.0 ||
+                        m_random.Unit() < m_settings.m_decisionSample);
+  if (!sampled) {
+    return false;
+  }
+  const TimePoint now = m_clock.Now();
+  if (now - m_second >= std::chrono::seconds(1)) {
+    m_second = now;
+    m_decisions = 0;
+  }
+  if (m_decisions >= m_settings.m_decisionsPerSecond) {
+    ++m_suppressed;
+    return false;
+  }
+  ++m_decisions;
+  return true;
+}
+
+void
+EasyLogger::Flush()
+{
+  const TimePoint now = m_clock.Now();
+  if (now - m_reported >= kReportInterval) {
+    m_reported = now;
+    const uint64_t dropped = StandardOutput().TakeDropped();
+    if (dropped > 0 || m_suppressed > 0) {
+      Write(LogLevel::Warning,
+            "log_lines_lost",
+            { { "output_full", dropped },
+              { "beyond_rate", std::exchange(m_suppressed, 0) } });
+    }
+  }
+  StandardOutput().Flush();
 }
 
 void
@@ -186,9 +305,9 @@
 }
 
 std::unique_ptr<Logger>
-MakeLogger(LoggerSettings aSettings, Random& aRandom)
+MakeLogger(LoggerSettings aSettings, Random& aRandom, const Clock& aClock)
 {
-  return std::make_unique<EasyLogger>(aSettings, aRandom);
+  return std::make_unique<EasyLogger>(aSettings, aRandom, aClock);
 }
 
 } // namespace sassafrasquay
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -39,6 +39,8 @@
 
 constexpr int kExitStartFailed = 1;
 constexpr int kExitEndedEarly = 3;
+// How long a line of the log may wait in the buffer.
+constexpr Duration kLogFlushInterval = std::chrono::milliseconds(500);
 // Between two looks at the settings file, which may change without a signal.
 constexpr Duration kNodeFileInterval = std::chrono::seconds(2);
 
@@ -112,6 +114,7 @@
   asio::awaitable<void> EndOnSecondSignal(asio::signal_set& aSignals);
   asio::awaitable<void> EndAtLimit(asio::any_io_executor aExecutor);
   asio::awaitable<void> WatchNodeFile(asio::any_io_executor aExecutor);
+  asio::awaitable<void> FlushLog(asio::any_io_executor aExecutor);
   void Reload();
 
   NodeSettings m_settings;
@@ -141,7 +144,8 @@
   logger.m_json = m_settings.m_logJson;
   ParseLogLevel(m_settings.m_logLevel, logger.m_level);
   logger.m_decisionSample = m_settings.m_decisionSample;
-  m_logger = MakeLogger(logger, *m_random);
+  logger.m_decisionsPerSecond = m_settings.m_decisionsPerSecond;
+  m_logger = MakeLogger(logger, *m_random, *m_clock);
 
   aKernel.Add("clock", m_clock);
   aKernel.Add("random", m_random);
@@ -321,9 +325,22 @@
   return policy;
 }
 
+asio::awaitable<void>
+Node::FlushLog(asio::any_io_executor aExecutor)
+{
+  asio::steady_timer timer(aExecutor);
+  while (true) {
+    m_logger->Flush();
+    timer.expires_after(kLogFlushInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
 asio::awaitable<int>
 Node::Run(Kernel& aKernel)
 {
+  asio::co_spawn(
+    aKernel.Executor(), FlushLog(aKernel.Executor()), asio::detached);
   asio::signal_set signals(aKernel.Executor(), SIGTERM, SIGINT, SIGHUP);
   try {
     co_await aKernel.StartAll();
@@ -431,6 +448,7 @@
   timer.expires_after(m_settings.m_shutdownLimit);
   co_await timer.async_wait(asio::use_awaitable);
   m_logger->Write(LogLevel::Warning, "shutdown_limit_reached", {});
+  m_logger->Flush();
   std::_Exit(kExitEndedEarly);
 }
 
@@ -445,6 +463,7 @@
   }
   if (!error) {
     m_logger->Write(LogLevel::Warning, "shutdown_cut_short", {});
+    m_logger->Flush();
     std::_Exit(kExitEndedEarly);
   }
 }
--- a/src/node/node_policy.h
+++ b/src/node/node_policy.h
@@ -27,9 +27,6 @@
   , public OperatorStateSource
 {
 public:
-  // Position of the published state in force; 0 before the first, or when
-  // nothing is published.
-  virtual uint64_t Version() const = 0;
   // False while routes are expected and none are known.
   virtual bool IsKnown() const = 0;
   // Takes over a state that is newer than the one in force; aSource is named
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -42,6 +42,10 @@
 DEFINE_double(decision_sample,
               1.0,
               "share of routing and placement decisions logged, 0 to 1");
+DEFINE_uint32(decisions_per_second,
+              500,
+              "most lines a second about routing and placement decisions; "
+              "further ones are counted");
 DEFINE_uint32(max_head_bytes, 16384, "size limit of a request head in bytes");
 DEFINE_uint64(max_body_bytes,
               4294967296,
@@ -229,6 +233,7 @@
   settings.m_logJson = FLAGS_log_format == "json";
   settings.m_logLevel = FLAGS_log_level;
   settings.m_decisionSample = FLAGS_decision_sample;
+  settings.m_decisionsPerSecond = FLAGS_decisions_per_second;
   settings.m_nodeFile = FLAGS_node_file;
   ReadPeers(settings, aFaults);
   ReadLimits(settings, aFaults);
--- a/src/upstream/gateway.cpp
+++ b/src/upstream/gateway.cpp
@@ -514,6 +514,9 @@
       { "in_flight", load.m_inFlight },
       { "limit", load.m_limit },
       { "queued", load.m_queued },
+      { "slowness", load.m_slowness },
+      { "load_age_ms", m_clock->Now() - m_loadAt },
+      { "cold", load.m_cold },
       { "remaining_ms", aHead.m_remaining } });
 }
 
