Let every declared setting act, and remove those that cannot

Cause: retry budget, crash limit, body limit and quarantine time of the declaration were checked and shown but did nothing; hedging, key retention and stored responses had no code behind them; two state machines were written and driven by nobody.

Change: the four settings act. Hedging and the two others are gone with their code, and so is the state machine of a request, which the ledger's states replace. The state machine of a stopping node is driven by the node.

Conclusion: a declaration with one of the removed fields is now named as faulty.

--- a/src/config/config.h
+++ b/src/config/config.h
@@ -40,7 +40,6 @@
   uint32_t m_coldLimit = 1;             // concurrency at cold start
   std::vector<IdempotencyRule> m_rules; // the longest prefix wins
   uint32_t m_retryBudgetPercent = 10;   // of the service's requests
-  bool m_hedging = false;
   uint32_t m_crashLimit = 2;            // crashes before refusal
   uint64_t m_maxBodyBytes = 2ULL << 30; // photograph uploads are 1 GiB
 
@@ -48,11 +47,17 @@
 };
 
 // Names of the fields in the declaration, in the order of ServiceSettings.
-constexpr size_t kSettingCount = 10;
+constexpr size_t kSettingCount = 9;
 constexpr std::array<std::string_view, kSettingCount> kSettingNames = {
-  "priority",    "default_timeout_ms", "max_timeout_ms",       "queue_per_slot",
-  "cold_limit",  "idempotency",        "retry_budget_percent", "hedging",
-  "crash_limit", "max_body_bytes"
+  "priority",
+  "default_timeout_ms",
+  "max_timeout_ms",
+  "queue_per_slot",
+  "cold_limit",
+  "idempotency",
+  "retry_budget_percent",
+  "crash_limit",
+  "max_body_bytes"
 };
 
 //-----------------------------------------------------------------------------
@@ -84,9 +89,7 @@
 struct FleetSettings
 {
   std::vector<ZoneOutOfService> m_zonesOut;
-  Duration m_keyRetention = std::chrono::minutes(10);
   Duration m_quarantine = std::chrono::minutes(10); // of a crashing request
-  uint64_t m_maxStoredResponseBytes = 64 << 10;
 
   bool IsOut(std::string_view aZone) const;
 };
--- a/src/config/declaration.cpp
+++ b/src/config/declaration.cpp
@@ -142,12 +142,8 @@
     std::string problem;
     if (key == "zones_out") {
       ZonesOut(value, path);
-    } else if (key == "key_retention_ms") {
-      problem = ReadMilliseconds(value, 1min, 24h, fleet.m_keyRetention);
     } else if (key == "quarantine_ms") {
       problem = ReadMilliseconds(value, 1s, 24h, fleet.m_quarantine);
-    } else if (key == "max_stored_response_bytes") {
-      problem = ReadInteger(value, 0, 1 << 20, fleet.m_maxStoredResponseBytes);
     } else {
       problem = "is not a known field";
     }
--- a/src/config/fields.cpp
+++ b/src/config/fields.cpp
@@ -70,16 +70,6 @@
   return {};
 }
 
-std::string
-ReadHedging(const json::value& aValue, ServiceSettings& aSettings)
-{
-  if (!aValue.is_bool()) {
-    return "must be true or false";
-  }
-  aSettings.m_hedging = aValue.as_bool();
-  return {};
-}
-
 bool
 IsMethod(std::string_view aText)
 {
@@ -209,11 +199,6 @@
            [](const S& aFrom, S& aTo) { aTo.m_rules = aFrom.m_rules; },
            ShowRules },
     IntegerField<&S::m_retryBudgetPercent, 0, 100>(),
-    Field{ ReadHedging,
-           [](const S& aFrom, S& aTo) { aTo.m_hedging = aFrom.m_hedging; },
-           [](const S& aSettings) -> std::string {
-             return aSettings.m_hedging ? "true" : "false";
-           } },
     IntegerField<&S::m_crashLimit, 1, 100>(),
     IntegerField<&S::m_maxBodyBytes, 0, 1ULL << 40>(),
   };
--- a/src/lifecycle/lifecycle.h
+++ b/src/lifecycle/lifecycle.h
@@ -1,4 +1,4 @@
-// Life cycles of a target, of a node that stops and of a request.
+// Life cycles of a target and of a node that stops.
 //
 // Pure decision code. The state machines are Boost.MSM tables in the .cpp
 // files; an event that does not apply in the current state changes nothing.
@@ -6,7 +6,6 @@
 // Index of this file
 //   [1] Target
 //   [2] Node that stops
-//   [3] Request at its target's node
 #pragma once
 
 #include "core/core.h"
@@ -66,7 +65,7 @@
 {
   Running,
   Announcing, // other nodes are told; calls still on their way are served
-  Draining,   // no new work; exchanges and the handover of records finish
+  Draining,   // no new work; open exchanges finish
   Stopped
 };
 
@@ -85,55 +84,11 @@
 
   bool Stop();         // first SIGTERM; a second one stops at once
   bool LeaveIsKnown(); // the announcement had its time to spread
-  bool Drained();      // no exchange is open and the records are handed over
+  bool Drained();      // no exchange is open
 
 private:
   struct Machine;
   std::unique_ptr<Machine> m_machine;
 };
 
-//-----------------------------------------------------------------------------
-// [3] Request at its target's node
-//-----------------------------------------------------------------------------
-
-enum class RequestState : uint8_t
-{
-  Offered,
-  Queued,
-  Running,
-  Answered,
-  Refused, // before dispatch, or shed by the target
-  Cancelled,
-  Failed
-};
-
-std::string_view
-ToString(RequestState aState);
-
-// Every event returns true when it changed the state; a final state never
-// changes, so a late event is recognised by false.
-class RequestLife
-{
-public:
-  RequestLife();
-  ~RequestLife();
-
-  RequestState State() const;
-  bool IsFinal() const;
-  Run KnownRun() const; // what may be told about execution at this moment
-
-  bool Enqueue();
-  bool Dispatch();
-  bool Answer(); // the whole answer arrived
-  bool Refuse(); // only before dispatch
-  bool Shed();   // the target states that it did not run the request
-  bool Cancel();
-  bool Fail(); // broken connection or deadline after dispatch
-
-private:
-  struct Machine;
-  std::unique_ptr<Machine> m_machine;
-  bool m_dispatched = false;
-};
-
 } // namespace sassafrasquay
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -7,6 +7,7 @@
 #include "dispatch/dispatch.h"
 #include "frontend/frontend.h"
 #include "gossip/gossip.h"
+#include "lifecycle/lifecycle.h"
 #include "logging/logging.h"
 #include "metrics/metrics.h"
 #include "node/fleet_view.h"
@@ -86,7 +87,7 @@
 
   std::string NotReadyReason() const override
   {
-    if (m_stopping) {
+    if (m_shutdown.State() != ShutdownState::Running) {
       return "the node is shutting down";
     }
     if (!m_started) {
@@ -127,8 +128,8 @@
   std::shared_ptr<TargetControl> m_target;
   uint64_t m_incarnation = 0; // of this process
   std::string m_nodeFileText; // as it was last read
+  NodeShutdown m_shutdown;
   bool m_started = false;
-  bool m_stopping = false;
 };
 
 void
@@ -166,6 +167,8 @@
 Node::MakeRetrySettings() const
 {
   RetrySettings retry;
+  retry.m_share =
+    m_settings.m_declaration.m_defaults.m_retryBudgetPercent / 100.0;
   const DeploymentBounds& bounds = m_settings.m_platform.m_bounds;
   if (bounds.m_retryShare > 0) {
     constexpr double kShareUsed = 0.5;
@@ -193,7 +196,11 @@
   aKernel.Add("admission",
               OnPlatform() ? MakeStatedAdmission(AdmissionSettings())
                            : MakeAdmission(AdmissionSettings()));
-  aKernel.Add("quarantine", MakeQuarantine(QuarantineSettings()));
+  QuarantineSettings quarantine;
+  quarantine.m_crashes = m_settings.m_declaration.m_defaults.m_crashLimit;
+  quarantine.m_longestHold = m_settings.m_declaration.m_fleet.m_quarantine;
+  quarantine.m_hold = std::min(quarantine.m_hold, quarantine.m_longestHold);
+  aKernel.Add("quarantine", MakeQuarantine(quarantine));
   aKernel.Add("ledger", MakeCallLedger(self, IdempotencyLimits()));
 }
 
@@ -360,7 +367,7 @@
   asio::co_spawn(
     aKernel.Executor(), WatchNodeFile(aKernel.Executor()), asio::detached);
   co_await WaitForSignal(signals);
-  m_stopping = true;
+  m_shutdown.Stop();
   if (m_settings.m_shutdownLimit > Duration::zero()) {
     asio::co_spawn(
       aKernel.Executor(), EndAtLimit(aKernel.Executor()), asio::detached);
@@ -375,7 +382,9 @@
   asio::steady_timer timer(aKernel.Executor());
   timer.expires_after(m_settings.m_leaveDelay);
   co_await timer.async_wait(asio::use_awaitable);
+  m_shutdown.LeaveIsKnown();
   co_await aKernel.StopAll();
+  m_shutdown.Drained();
   m_logger->Write(LogLevel::Info, "shutdown_finished", {});
   co_return 0;
 }
@@ -396,7 +405,7 @@
 Node::WatchNodeFile(asio::any_io_executor aExecutor)
 {
   asio::steady_timer timer(aExecutor);
-  while (!m_settings.m_nodeFile.empty() && !m_stopping) {
+  while (!m_settings.m_nodeFile.empty() && m_shutdown.AcceptsWork()) {
     if (ReadText(m_settings.m_nodeFile) != m_nodeFileText) {
       Reload();
     }
--- a/src/node/node_policy.cpp
+++ b/src/node/node_policy.cpp
@@ -151,6 +151,9 @@
     return ResultCode::UnknownService;
   }
   const ServiceSettings& settings = For(aHead.m_service);
+  if (aHead.m_bodyLength.value_or(0) > settings.m_maxBodyBytes) {
+    return ResultCode::BodyTooLarge;
+  }
   aHead.m_priority = settings.m_priority;
   aHead.m_idempotent = IsIdempotent(settings, aHead.m_method, aHead.m_path);
   aHead.m_remaining =
--- a/src/node/node_policy.h
+++ b/src/node/node_policy.h
@@ -14,9 +14,6 @@
   std::string m_zone;
   std::string m_service;     // expected beside this node; may be empty
   Declaration m_declaration; // the built-in defaults when no file is given
-  // Rules of the deployment about retries; zero: the declaration's share.
-  double m_retryShare = 0;
-  double m_retryReserve = 0; // of the whole fleet
 };
 
 // The service "call_policy" (CallPolicy) and "operator_state"
--- a/src/retry/retry.cpp
+++ b/src/retry/retry.cpp
@@ -80,7 +80,6 @@
   void OnRequest(std::string_view aService, RetryMarker aMarker) override;
   void OnResult(std::string_view aService, ResultCode aCode) override;
   RetryDecision Decide(const RetryAttempt& aAttempt) override;
-  RetryDecision Hedge(const HedgeAttempt& aAttempt) override;
   double Tokens(std::string_view aService) const override;
 
 private:
@@ -222,44 +221,6 @@
   };
 }
 
-RetryDecision
-BudgetedRetryPolicy::Hedge(const HedgeAttempt& aAttempt)
-{
-  if (!m_settings.m_hedge) {
-    return Stop(RetryReason::Disabled);
-  }
-  if (!aAttempt.m_idempotent) {
-    return Stop(RetryReason::NotIdempotent);
-  }
-  if (!aAttempt.m_replayable) {
-    return Stop(RetryReason::NotReplayable);
-  }
-  if (aAttempt.m_marker == RetryMarker::Spent) {
-    return Stop(RetryReason::Spent);
-  }
-  if (aAttempt.m_dispatched >= m_settings.m_maxDispatched) {
-    return Stop(RetryReason::Attempts);
-  }
-  const auto after = std::chrono::duration_cast<Duration>(
-    aAttempt.m_expected * m_settings.m_hedgeAfter);
-  if (aAttempt.m_remaining < after - aAttempt.m_elapsed + aAttempt.m_expected) {
-    return Stop(RetryReason::NoTime);
-  }
-  if (aAttempt.m_elapsed < after) {
-    // Nothing is taken yet: the caller asks again after the delay.
-    return { RetryAction::After,
-             after - aAttempt.m_elapsed,
-             RetryReason::Retry,
-             RetryMarker::None };
-  }
-  if (!Take(aAttempt.m_service, 1)) {
-    return Stop(RetryReason::Budget);
-  }
-  return {
-    RetryAction::Now, Duration(), RetryReason::Retry, RetryMarker::Spent
-  };
-}
-
 } // namespace
 
 std::string_view
@@ -282,8 +243,6 @@
       return "attempts";
     case RetryReason::Budget:
       return "budget";
-    case RetryReason::Disabled:
-      return "disabled";
   }
   return "not_retryable";
 }
--- a/src/retry/retry.h
+++ b/src/retry/retry.h
@@ -43,19 +43,6 @@
   uint32_t m_maxDispatched = 0; // the request's own bound; 0: the settings'
 };
 
-// An attempt that is still running, for hedging.
-struct HedgeAttempt
-{
-  std::string_view m_service;
-  bool m_idempotent = false;
-  bool m_replayable = false;
-  uint32_t m_dispatched = 1;
-  Duration m_elapsed{};  // since the attempt was sent
-  Duration m_expected{}; // usual time to an answer
-  Duration m_remaining{};
-  RetryMarker m_marker = RetryMarker::None;
-};
-
 enum class RetryAction : uint8_t
 {
   Stop,
@@ -73,8 +60,7 @@
   NoTime,        // a further attempt does not fit the remaining time
   Spent,         // the previous layer retries
   Attempts,      // bound of attempts for one request
-  Budget,        // the service's budget is empty
-  Disabled       // hedging is off
+  Budget         // the service's budget is empty
 };
 
 std::string_view
@@ -103,9 +89,6 @@
   virtual void OnResult(std::string_view aService, ResultCode aCode) = 0;
   // Takes the cost from the budget when the decision is to retry.
   virtual RetryDecision Decide(const RetryAttempt& aAttempt) = 0;
-  // Whether to send a second attempt beside one that is still running. Takes
-  // the cost from the budget when it is.
-  virtual RetryDecision Hedge(const HedgeAttempt& aAttempt) = 0;
   // Retries that the service could make now.
   virtual double Tokens(std::string_view aService) const = 0;
 };
@@ -122,8 +105,6 @@
   uint32_t m_maxDispatched = 2; // attempts of one request that may have run
   uint32_t m_maxRefused = 3;    // further attempts after refusals
   Duration m_delay{ std::chrono::milliseconds(2) }; // doubles with each refusal
-  bool m_hedge = false;
-  double m_hedgeAfter = 2; // in usual times to an answer
 };
 
 // aRandom must outlive the policy; it spreads the delays.
