Hand the deployment's bounds to the retry budget; refusals cost it nothing

The settings file shows why: the platform renders the bounds as a table, so the flag held JSON, no figure was read and the defaults were in force, where a refusal by the node beside a target costs a quarter of a retry.

Change: the template writes name=value. The reserve is an equal part of half of the deployment's reserve, for the number of nodes that gossip knows, so larger fleets stay within it too. After a refusal only the remaining time itself ends the search; whether an answer still fits is for the next target to say.

Ruled out: the immediate tries (a refusal is followed by a queued try in the same trace when the budget allows it).

--- a/src/node/fleet_view.cpp
+++ b/src/node/fleet_view.cpp
@@ -3,6 +3,7 @@
 
 #include "gossip/gossip.h"
 #include "logging/logging.h"
+#include "retry/retry.h"
 #include "routing/routing.h"
 #include "upstream/upstream.h"
 
@@ -51,6 +52,7 @@
   std::shared_ptr<Logger> m_logger;
   std::shared_ptr<Gossip> m_gossip;
   std::shared_ptr<Router> m_router;
+  std::shared_ptr<RetryPolicy> m_retry;
   std::shared_ptr<TargetControl> m_target;
   std::map<NodeId, TargetInfo> m_targets; // usable ones, by node
   std::unique_ptr<Event> m_ended;
@@ -65,6 +67,7 @@
   m_logger = aKernel.Find<Logger>("logger");
   m_gossip = aKernel.Find<Gossip>("gossip");
   m_router = aKernel.Find<Router>("router");
+  m_retry = aKernel.Find<RetryPolicy>("retry");
   m_target = aKernel.Find<TargetControl>("gateway");
   m_ended = std::make_unique<Event>(aKernel.Executor());
   m_gossip->AddListener(*this);
@@ -131,6 +134,7 @@
     Update(change, services);
   }
   PassOn(services);
+  m_retry->SetFleetSize(m_gossip->Members().size());
 }
 
 void
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -160,9 +160,6 @@
 }
 
 // A deployment bounds the repeated arrivals of a service summed over all nodes.
-// Each node takes an equal part of the reserve, for about as many nodes as a
-// service of this kind has callers, and stays below the share to leave room for
-// the calls that a repeated request makes itself.
 RetrySettings
 Node::MakeRetrySettings() const
 {
@@ -171,10 +168,12 @@
     m_settings.m_declaration.m_defaults.m_retryBudgetPercent / 100.0;
   const DeploymentBounds& bounds = m_settings.m_platform.m_bounds;
   if (bounds.m_retryShare > 0) {
-    constexpr double kShareUsed = 0.5;
-    constexpr double kNodes = 24;
-    retry.m_share = kShareUsed * bounds.m_retryShare;
-    retry.m_reserve = std::max(1.0, bounds.m_retryReserve / kNodes);
+    // Half of what the deployment allows: the calls that a repeated request
+    // makes itself count as repeated as well.
+    constexpr double kUsed = 0.5;
+    retry.m_share = kUsed * bounds.m_retryShare;
+    retry.m_fleetReserve = kUsed * bounds.m_retryReserve;
+    retry.m_reserve = 1;     // until the other nodes are known
     retry.m_refusalCost = 0; // a refusal between nodes reaches no target
   }
   return retry;
@@ -363,7 +362,9 @@
                     { "zone", m_settings.m_zone },
                     { "listen", ToString(m_settings.m_listen) },
                     { "peer_listen", ToString(m_settings.m_peerListen) },
-                    { "control", ToString(m_settings.m_controlListen) } });
+                    { "control", ToString(m_settings.m_controlListen) },
+                    { "retry_share", MakeRetrySettings().m_share },
+                    { "retry_reserve", MakeRetrySettings().m_fleetReserve } });
   asio::co_spawn(
     aKernel.Executor(), WatchNodeFile(aKernel.Executor()), asio::detached);
   co_await WaitForSignal(signals);
--- a/src/node/operator_follower.cpp
+++ b/src/node/operator_follower.cpp
@@ -143,7 +143,7 @@
 OperatorFollower::NoteStore(const std::error_code& aError)
 {
   const bool reachable = !aError || aError == ResultCode::LogHistoryGone;
-  if (reachable != m_reachable) {
+  if (reachable != m_reachable && !m_stopping) {
     m_reachable = reachable;
     m_logger->Write(
       reachable ? LogLevel::Info : LogLevel::Warning,
--- a/src/retry/retry.cpp
+++ b/src/retry/retry.cpp
@@ -80,6 +80,7 @@
   void OnRequest(std::string_view aService, RetryMarker aMarker) override;
   void OnResult(std::string_view aService, ResultCode aCode) override;
   RetryDecision Decide(const RetryAttempt& aAttempt) override;
+  void SetFleetSize(size_t aNodes) override;
   double Tokens(std::string_view aService) const override;
 
 private:
@@ -105,6 +106,19 @@
     .first->second;
 }
 
+void
+BudgetedRetryPolicy::SetFleetSize(size_t aNodes)
+{
+  if (m_settings.m_fleetReserve <= 0) {
+    return;
+  }
+  const auto nodes = static_cast<double>(std::max<size_t>(1, aNodes));
+  m_settings.m_reserve = std::max(1.0, m_settings.m_fleetReserve / nodes);
+  for (auto& [service, budget] : m_budgets) {
+    budget.m_tokens = std::min(budget.m_tokens, m_settings.m_reserve);
+  }
+}
+
 double
 BudgetedRetryPolicy::Tokens(std::string_view aService) const
 {
@@ -180,7 +194,9 @@
       most / 2 +
       Duration(m_random.Below(static_cast<uint64_t>((most / 2).count()) + 1));
   }
-  if (aAttempt.m_remaining < decision.m_delay + aAttempt.m_expected) {
+  // Whether the answer fits the remaining time is for the next target to say:
+  // it knows how busy it is.
+  if (aAttempt.m_remaining <= decision.m_delay) {
     return Stop(RetryReason::NoTime);
   }
   const double cost =
--- a/src/retry/retry.h
+++ b/src/retry/retry.h
@@ -89,6 +89,8 @@
   virtual void OnResult(std::string_view aService, ResultCode aCode) = 0;
   // Takes the cost from the budget when the decision is to retry.
   virtual RetryDecision Decide(const RetryAttempt& aAttempt) = 0;
+  // How many nodes share RetrySettings::m_fleetReserve.
+  virtual void SetFleetSize(size_t /*aNodes*/) {}
   // Retries that the service could make now.
   virtual double Tokens(std::string_view aService) const = 0;
 };
@@ -99,8 +101,9 @@
 
 struct RetrySettings
 {
-  double m_share = 0.10; // retries earned by each request
-  double m_reserve = 10; // at the start, and the most that can be saved up
+  double m_share = 0.10;     // retries earned by each request
+  double m_reserve = 10;     // at the start, and the most that can be saved up
+  double m_fleetReserve = 0; // of all nodes together, instead; 0: not used
   double m_refusalCost = 0.25;  // a refused attempt cost the target nothing
   uint32_t m_maxDispatched = 2; // attempts of one request that may have run
   uint32_t m_maxRefused = 3;    // further attempts after refusals
--- a/tests/unit/retry_test.cpp
+++ b/tests/unit/retry_test.cpp
@@ -141,6 +141,24 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(the_reserve_of_a_fleet)
+
+// Guards against nodes that together spend more than the fleet may.
+BOOST_AUTO_TEST_CASE(is_shared_by_its_nodes)
+{
+  SeededRandom random{ 3 };
+  RetrySettings settings;
+  settings.m_fleetReserve = 40;
+  const auto policy = MakeRetryPolicy(settings, random);
+  policy->OnRequest("s", RetryMarker::None);
+  policy->SetFleetSize(10);
+  BOOST_TEST(policy->Tokens("s") == 4.0);
+  policy->SetFleetSize(100);
+  BOOST_TEST(policy->Tokens("s") == 1.0); // one can always be saved up
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(an_attempt_that_the_target_turned_away)
 
 // Guards against more arrivals at the targets than the budget allows: one that
