--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -46,7 +46,7 @@
   {
     RouteFeedback feedback;
     feedback.m_latency = std::chrono::milliseconds(20);
-    feedback.m_load = { 2, 0, 6, 6, false, false, {}, 1 };
+    feedback.m_load = { 2, 0, 6, 6, false, false, {}, 100, 1 };
     feedback.m_hasLoad = true;
     return feedback;
   }
