--- a/tools/standin_store.cpp
+++ b/tools/standin_store.cpp
@@ -270,7 +270,7 @@
   for (uint64_t at = from; at < aTopic.End(); ++at) {
     EncodeKeyedRecord(aTopic.m_records[at - aTopic.m_first], body);
   }
-  co_return Reply(200, std::move(body));
+  co_return Reply(200, body);
 }
 
 Response
