--- a/src/retry/retry.cpp
+++ b/src/retry/retry.cpp
@@ -194,9 +194,7 @@
       most / 2 +
       Duration(m_random.Below(static_cast<uint64_t>((most / 2).count()) + 1));
   }
-  // Whether the answer fits the remaining time is for the next target to say:
-  // it knows how busy it is.
-  if (aAttempt.m_remaining <= decision.m_delay) {
+  if (aAttempt.m_remaining < decision.m_delay + aAttempt.m_expected) {
     return Stop(RetryReason::NoTime);
   }
   const double cost =
