Tell entry nodes with every answer that a node stops

Change: from the signal to stop on, the load in each answer is marked as leaving; the router already excludes such a target.

Ruled out: load as the cause, since the new drill fails without any; a longer leave delay in the drill, which would hide the wait for gossip.

An entry node without traffic to the stopping node still depends on gossip; docs/promises.md lists it.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -378,6 +378,9 @@
   m_logger->Write(LogLevel::Info,
                   "shutdown_started",
                   { { "leave_delay_ms", m_settings.m_leaveDelay } });
+  // Gossip may take several rounds to reach an entry node; answers tell those
+  // that send work at once.
+  m_target->SetNodeLeaving();
   m_gossip->Leave();
   // Other nodes learn of the leaving before the listeners close.
   asio::steady_timer timer(aKernel.Executor());
--- a/src/upstream/gateway.cpp
+++ b/src/upstream/gateway.cpp
@@ -62,6 +62,7 @@
 
   std::error_code Announce(const TargetAnnouncement& aTarget) override;
   void Drain() override;
+  void SetNodeLeaving() override { m_nodeLeaving = true; }
   void Lose() override;
   void TurnCold() override;
   void StateCold(Duration aLeft) override;
@@ -73,6 +74,7 @@
     LoadReport report = m_admission->Report(m_clock->Now());
     report.m_slowness = m_slowness;
     report.m_incarnation = m_target ? m_target->m_incarnation : 0;
+    report.m_leaving = report.m_leaving || m_nodeLeaving;
     return report;
   }
   Event& Changed() override { return *m_changed; }
@@ -116,7 +118,8 @@
   ServiceTraits m_traits;
   uint32_t m_slowness = 100; // as the target last stated it
   TimePoint m_loadAt{};      // when it did
-  bool m_statesLoad = true;  // until a health answer comes without it
+  bool m_nodeLeaving = false;
+  bool m_statesLoad = true; // until a health answer comes without it
   bool m_probing = false;
   std::optional<ProbeBudget> m_probeBudget;
   std::unique_ptr<Event> m_probed;
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -41,6 +41,9 @@
   // incarnation the target with this id states later.
   virtual std::error_code Announce(const TargetAnnouncement& aTarget) = 0;
   virtual void Drain() = 0;
+  // The node is about to stop: every answer says so, and work that still
+  // arrives is served.
+  virtual void SetNodeLeaving() = 0;
   // The target has ended or ends without having drained.
   virtual void Lose() = 0;
   virtual void TurnCold() = 0;
--- a/tests/drills/failure_drill.cpp
+++ b/tests/drills/failure_drill.cpp
@@ -183,6 +183,31 @@
   CheckPromises(told, fleet.Runs());
 }
 
+// Guards against an entry node that goes on sending work to a node that stops
+// until gossip tells it: the answers tell it at once.
+BOOST_AUTO_TEST_CASE(answers_tell_that_a_node_stops)
+{
+  Fleet fleet;
+  fleet.Add("entry", 1);
+  fleet.Add("bookings", 3);
+  fleet.Start();
+  for (size_t i = 1; i < 4; ++i) {
+    fleet.WaitUntilListed(fleet.At(0), fleet.At(i));
+  }
+  const std::string stopped = "target=" + ToString(fleet.At(1).m_target) + " ";
+  fleet.At(1).m_nodeProcess->Signal(SIGTERM);
+  Sleep(10);
+  int reached = 0;
+  for (int i = 0; i < 40; ++i) {
+    const std::string identity = "s" + std::to_string(i);
+    const HttpRequest request = PostTo("bookings", identity, identity);
+    const HttpReply reply = Send(fleet.At(0).m_callers, request);
+    BOOST_TEST(reply.m_status == 200U);
+    reached += reply.m_body.find(stopped) != std::string::npos ? 1 : 0;
+  }
+  BOOST_TEST(reached <= 1);
+}
+
 // Guards against a planned stop that cuts a request: every node is replaced in
 // turn and no caller of a running node may see a failure.
 BOOST_AUTO_TEST_CASE(every_target_node_is_replaced_in_turn)
