Remember the leave of a target that a restarted node does not know

Cause: a node that had just started dropped an acknowledged leave when it knew its target by its health answer only, or not at all: TargetReports matched the leave against the last report, and there was none. The target then stayed in use.

Change: Drain names the target; an id that is not known yet is remembered, so that its health does not announce it, and a late report of a process born before the leave does not count.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -243,7 +243,7 @@
     return SetLog(aBody);
   }
   if (aPath == "/v1/target/drain") {
-    m_target->Drain();
+    m_target->Drain("");
     return Done();
   }
   if (aPath == "/v1/target/cold") {
--- a/src/targets/target_reports.cpp
+++ b/src/targets/target_reports.cpp
@@ -25,6 +25,9 @@
       (IsSameProcess(*m_left, aReport) || aReport.m_born < m_left->m_born)) {
     return ReportVerdict::Stale;
   }
+  if (aReport.m_id == m_unknownLeft && aReport.m_born <= m_unknownLeftAt) {
+    return ReportVerdict::Stale;
+  }
   if (m_last && IsSameProcess(*m_last, aReport)) {
     if (aReport.m_sequence <= m_last->m_sequence) {
       return ReportVerdict::Stale;
@@ -40,9 +43,14 @@
 }
 
 bool
-TargetReports::OnLeave(std::string_view aId)
+TargetReports::OnLeave(std::string_view aId, WallTime aNow)
 {
-  if (!m_last || m_last->m_id != aId) {
+  if (!m_last) {
+    m_unknownLeft = aId;
+    m_unknownLeftAt = aNow;
+    return false;
+  }
+  if (m_last->m_id != aId) {
     return false;
   }
   m_left = std::move(m_last);
--- a/src/targets/target_reports.h
+++ b/src/targets/target_reports.h
@@ -56,8 +56,10 @@
   }
 
   ReportVerdict OnReport(const TargetReport& aReport);
-  // The target says that it ends. False when it is not the known one.
-  bool OnLeave(std::string_view aId);
+  // The target says that it ends. False when it is not the known one: late
+  // word of an earlier process, or the node has started after the last report.
+  // In the second case no report of a process that was born by then counts.
+  bool OnLeave(std::string_view aId, WallTime aNow);
 
   // The last report that counted; none before the first and after OnLeave.
   const std::optional<TargetReport>& Last() const { return m_last; }
@@ -66,7 +68,9 @@
   std::string m_service;
   std::optional<Endpoint> m_address;
   std::optional<TargetReport> m_last;
-  std::optional<TargetReport> m_left; // the last one that said it ends
+  std::optional<TargetReport> m_left; // the last known one that said it ends
+  std::string m_unknownLeft;          // id of one that was not known
+  WallTime m_unknownLeftAt{};         // it was born before
 };
 
 } // namespace sassafrasquay
--- a/src/upstream/gateway.cpp
+++ b/src/upstream/gateway.cpp
@@ -61,7 +61,7 @@
   ResolveReply Resolve(const ResolveRequest& aRequest) override;
 
   std::error_code Announce(const TargetAnnouncement& aTarget) override;
-  void Drain() override;
+  void Drain(std::string_view aTargetId) override;
   void SetNodeLeaving() override { m_nodeLeaving = true; }
   void Lose() override;
   void TurnCold() override;
@@ -110,6 +110,7 @@
   MetricCounter* m_crashes = nullptr;
   std::unique_ptr<TargetClient> m_client;
   std::optional<TargetAnnouncement> m_target;
+  std::string m_drainedId; // the last one that was told to get no new work
   std::unordered_map<CallId, Waiter*> m_waiting;
   std::unordered_map<CallId, RequestIdentity> m_running; // at the target now
   TimePoint m_armed = TimePoint::max(); // when the tick coroutine wakes
@@ -571,8 +572,14 @@
 }
 
 void
-Gateway::Drain()
+Gateway::Drain(std::string_view aTargetId)
 {
+  if (!aTargetId.empty()) {
+    m_drainedId = aTargetId;
+  }
+  if (!m_target || (!aTargetId.empty() && m_target->m_id != aTargetId)) {
+    return;
+  }
   const bool before = m_admission->Report(m_clock->Now()).m_leaving;
   m_admission->SetLeaving(true, m_clock->Now());
   ArmTick();
@@ -642,7 +649,8 @@
       health = co_await m_client->Probe(m_settings.m_expectedAddress, path);
     }
     const bool usable = health && health->m_healthy && health->m_load &&
-                        !health->m_id.empty() && !m_target;
+                        !health->m_id.empty() && !m_target &&
+                        health->m_id != m_drainedId;
     if (usable) {
       TargetAnnouncement target;
       target.m_id = health->m_id;
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -40,7 +40,9 @@
   // same incarnation changes nothing. kUnknownIncarnation stands for whichever
   // incarnation the target with this id states later.
   virtual std::error_code Announce(const TargetAnnouncement& aTarget) = 0;
-  virtual void Drain() = 0;
+  // The target with this id gets no new work; empty: whichever is known. An id
+  // that is not known yet is remembered: its health does not announce it.
+  virtual void Drain(std::string_view aTargetId) = 0;
   // The node is about to stop: every answer says so, and work that still
   // arrives is served.
   virtual void SetNodeLeaving() = 0;
--- a/tests/drills/platform_drill.cpp
+++ b/tests/drills/platform_drill.cpp
@@ -265,6 +265,81 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(an_instance_that_leaves)
+
+BOOST_AUTO_TEST_SUITE(while_its_node_has_just_started)
+
+namespace {
+
+// A fleet of two; the second node has started again, and its instance, which
+// sends no reports, answers its health after a delay.
+struct RestartedNode
+{
+  Fleet m_fleet;
+
+  explicit RestartedNode(uint64_t aHealthMs)
+  {
+    m_fleet.Add("lessons", 2);
+    m_fleet.StartOnPlatform();
+    Instance& second = m_fleet.At(1);
+    m_fleet.SetFault(second, "mute_reports", 1);
+    m_fleet.SetFault(second, "health_ms", aHealthMs);
+    second.m_nodeProcess->Signal(SIGKILL);
+    second.m_nodeProcess->Wait();
+    m_fleet.StartNode(second);
+  }
+
+  // True once the second node says that its instance has left.
+  bool Leave()
+  {
+    for (int i = 0; i < 200; ++i) {
+      if (m_fleet.Get(m_fleet.At(1).m_target, "/standin/leave") == "ok") {
+        return true;
+      }
+      Sleep(20);
+    }
+    return false;
+  }
+
+  // Runs at the second instance of requests sent through both nodes.
+  uint64_t RunsAfterwards()
+  {
+    const uint64_t before = RequestsAt(m_fleet, m_fleet.At(1));
+    for (size_t i = 0; i < 100; ++i) {
+      const std::string id = "l-" + std::to_string(i);
+      Send(m_fleet.At(i % 2).m_callers, Ask("/safe/1", id));
+      Sleep(20);
+    }
+    return RequestsAt(m_fleet, m_fleet.At(1)) - before;
+  }
+};
+
+} // namespace
+
+// Guards against an acknowledged leave that is dropped because the node knows
+// the instance by its health only.
+BOOST_AUTO_TEST_CASE(and_knows_it_by_its_health_gets_nothing_new)
+{
+  RestartedNode restarted(0);
+  const Instance& second = restarted.m_fleet.At(1);
+  restarted.m_fleet.WaitUntilListed(second, second);
+  BOOST_TEST(restarted.Leave());
+  BOOST_TEST(restarted.RunsAfterwards() == 0U);
+}
+
+// Guards against a health answer that brings back an instance that said it
+// leaves before the node knew it.
+BOOST_AUTO_TEST_CASE(and_does_not_know_it_yet_gets_nothing_new)
+{
+  RestartedNode restarted(400);
+  BOOST_TEST(restarted.Leave());
+  BOOST_TEST(restarted.RunsAfterwards() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(processes_fail_under_load)
 
 // Guards against a second run, a false promise and a mixed-up answer when
--- a/tests/unit/targets_test.cpp
+++ b/tests/unit/targets_test.cpp
@@ -8,12 +8,18 @@
 
 namespace {
 
+WallTime
+Wall(int aSeconds)
+{
+  return WallTime(std::chrono::seconds(aSeconds));
+}
+
 TargetReport
 MakeReport(std::string aId, int aBorn, uint64_t aSequence)
 {
   TargetReport report;
   report.m_id = std::move(aId);
-  report.m_born = WallTime(std::chrono::seconds(aBorn));
+  report.m_born = Wall(aBorn);
   report.m_sequence = aSequence;
   report.m_service = "bookings";
   report.m_address = { "10.0.0.1", 80 };
@@ -86,13 +92,30 @@
 BOOST_AUTO_TEST_CASE(and_its_late_reports_do_not_bring_it_back)
 {
   Report("i", 10, 4);
-  BOOST_TEST(!m_reports.OnLeave("other"));
-  BOOST_TEST(m_reports.OnLeave("i"));
+  BOOST_TEST(!m_reports.OnLeave("other", Wall(15)));
+  BOOST_TEST(m_reports.OnLeave("i", Wall(15)));
   BOOST_CHECK(Report("i", 10, 5) == ReportVerdict::Stale);
   BOOST_TEST(!m_reports.Last().has_value());
   BOOST_CHECK(Report("i", 20, 1) == ReportVerdict::NewTarget);
 }
 
+// Guards against a node that started after the last report: it acknowledges the
+// leave of a target that it does not know, and a late report brings it back.
+BOOST_AUTO_TEST_CASE(and_a_node_that_does_not_know_it_remembers_the_leave)
+{
+  BOOST_TEST(!m_reports.OnLeave("i", Wall(15)));
+  BOOST_CHECK(Report("i", 10, 5) == ReportVerdict::Stale);
+  BOOST_CHECK(Report("i", 20, 1) == ReportVerdict::NewTarget);
+}
+
+// Guards against a late leave of an earlier process that shuts out the target
+// that runs now, when the node knows neither.
+BOOST_AUTO_TEST_CASE(and_another_process_is_not_meant)
+{
+  BOOST_TEST(!m_reports.OnLeave("earlier", Wall(15)));
+  BOOST_CHECK(Report("i", 10, 5) == ReportVerdict::NewTarget);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tools/standin_target.cpp
+++ b/tools/standin_target.cpp
@@ -7,6 +7,7 @@
 //   POST /standin/set?name=value  see Faults
 //   POST /standin/drain, /standin/cold
 //                                 tells the node beside it
+//   POST /standin/leave           tells the node that it ends, without draining
 //   POST /standin/crash           ends the process at once
 //   any other path                a request: echoes identity, path and body
 //   size
@@ -69,6 +70,8 @@
   uint64_t m_answerBytes = 0;   // answer_bytes: pads the answer
   uint64_t m_extraAnswer = 0;   // extra=1: a second answer after each one
   uint64_t m_slowness = 100;    // slowness: as stated with the load
+  uint64_t m_muteReports = 0;   // mute_reports=1: sends no status reports
+  uint64_t m_healthMs = 0;      // health_ms: delay of the health answer
 };
 
 struct State
@@ -106,6 +109,8 @@
     { "answer_bytes", &aFaults.m_answerBytes },
     { "extra", &aFaults.m_extraAnswer },
     { "slowness", &aFaults.m_slowness },
+    { "mute_reports", &aFaults.m_muteReports },
+    { "health_ms", &aFaults.m_healthMs },
   };
   const auto found = fields.find(aName);
   if (found != fields.end()) {
@@ -177,7 +182,9 @@
                               { "incarnation", aIncarnation } };
   asio::steady_timer timer(co_await asio::this_coro::executor);
   while (true) {
-    if (FLAGS_platform) {
+    if (FLAGS_platform && aState.m_faults.m_muteReports != 0) {
+      // Silent until the fault is taken back.
+    } else if (FLAGS_platform) {
       co_await SendReport(aState);
     } else {
       co_await PostToNode(aState, "/v1/target/announce", json::serialize(body));
@@ -224,6 +231,11 @@
     aState.m_draining = true;
     co_return co_await SendReport(aState) ? "ok" : "no ack";
   }
+  if (aPath == "/standin/leave" && FLAGS_platform) {
+    const bool acked = co_await CallNode(
+      aState, http::verb::delete_, "/-/instances/" + FLAGS_id, "");
+    co_return acked ? "ok" : "no ack";
+  }
   if (aPath == "/standin/drain" || aPath == "/standin/cold") {
     const std::string action = aPath.substr(aPath.rfind('/'));
     co_await PostToNode(aState, "/v1/target" + action, "");
@@ -346,6 +358,9 @@
     co_return co_await Reply(200, "cancelled", false);
   }
   if (FLAGS_platform && path == "/healthz") {
+    asio::steady_timer delay(m_stream.get_executor());
+    delay.expires_after(std::chrono::milliseconds(m_state.m_faults.m_healthMs));
+    co_await delay.async_wait(asio::use_awaitable);
     co_return co_await Reply(m_state.m_draining ? 503 : 200, "", false);
   }
   if (path.starts_with("/standin/")) {
