Ask peers for a newer configuration until one gives it

Cause: membership named a peer with a newer configuration once for each version. A question that got no answer (the peer was killed, or the link was cut), or that came while another one ran, was never asked again. With the store out of reach the node then kept its old configuration until the next version. The question also went to the sender's UDP source address in place of its listed peer address.

Change: each datagram of such a peer names it, by its listed address; the follower still asks one question at a time and pauses 200 ms after one that stayed without an answer.

Ruled out: a retry in the follower alone, which would go on asking a peer that is gone.

Before: the new unit test fails at the second datagram (run with the old rule put back). After: it passes, with all 98 unit tests.

Conclusion: a lost question no longer costs a configuration while the store is away.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -502,10 +502,10 @@
     entry->m_configVersion =
       std::max(entry->m_configVersion, aDatagram.m_configVersion);
   }
-  if (aDatagram.m_configVersion > m_configVersion &&
-      aDatagram.m_configVersion > m_configAnnounced) {
-    m_configAnnounced = aDatagram.m_configVersion;
-    m_actions.m_newerConfigAt = aFrom;
+  // Said with every datagram, because a question can stay without an answer.
+  if (aDatagram.m_configVersion > m_configVersion) {
+    const bool listed = entry != nullptr && entry->Usable();
+    m_actions.m_newerConfigAt = listed ? entry->m_info.m_peer : aFrom;
   }
   // A member listed as gone speaks: the two sides of a healed partition meet
   // here and compare tables at once.
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -235,7 +235,8 @@
   std::vector<Rumour> m_rumours; // new ones, or now cleared
   bool m_joined = false;         // the table has become whole
   bool m_woke = false;           // the process was paused
-  // A peer applies a newer configuration than this node; ask it.
+  // A peer applies a newer configuration than this node; ask it. Comes with
+  // each datagram of such a peer, so one question at a time is enough.
   std::optional<Endpoint> m_newerConfigAt;
   // Another process with this node id runs under this higher incarnation.
   std::optional<uint64_t> m_supersededBy;
--- a/src/membership/protocol.h
+++ b/src/membership/protocol.h
@@ -202,7 +202,6 @@
   std::optional<TimePoint> m_unprovenUntil;
   TimePoint m_expectedWake = TimePoint::max();
   TimePoint m_lastHeard;
-  uint64_t m_configAnnounced = 0;
 
   std::vector<HeldRumour> m_rumours;
 
--- a/src/node/operator_follower.cpp
+++ b/src/node/operator_follower.cpp
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr Duration kAskTimeout = std::chrono::seconds(1);
+// Pause after a question that a peer did not answer. Datagrams of peers with a
+// newer state arrive several times a second.
+constexpr Duration kAskPause = std::chrono::milliseconds(200);
 
 class OperatorFollower
   : public Service
@@ -179,6 +182,7 @@
     m_logger->Write(LogLevel::Warning,
                     "config_not_received_from_peer",
                     { { "peer", ToString(aPeer) } });
+    co_await m_ended->WaitFor(kAskPause);
   }
   m_asking = false;
   --m_running;
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -75,6 +75,37 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_member_with_a_newer_configuration)
+
+// Guards against a node that keeps its old configuration while the store is
+// away, because the one question to a peer was lost.
+BOOST_AUTO_TEST_CASE(is_named_until_its_configuration_is_in_force)
+{
+  const TimePoint now{ std::chrono::seconds(1) };
+  SeededRandom random(1);
+  const GossipSizer sizer;
+  Membership membership(
+    MembershipSettings(), RecordOf("self", 4000), sizer, random, now);
+  membership.Join({}, now);
+  const Endpoint from{ "127.0.0.1", 5000 };
+  Datagram datagram;
+  datagram.m_kind = MessageKind::Listing;
+  datagram.m_sender = RecordOf("sender").m_brief;
+  datagram.m_records = { RecordOf("sender", 4100) };
+  datagram.m_configVersion = 7;
+
+  const Endpoint listed{ "127.0.0.1", 4100 };
+  for (int i = 0; i < 3; ++i) {
+    const Actions actions = membership.OnDatagram(from, datagram, now);
+    BOOST_TEST_REQUIRE(actions.m_newerConfigAt.has_value());
+    BOOST_CHECK(*actions.m_newerConfigAt == listed);
+  }
+  membership.SetConfigVersion(7);
+  BOOST_TEST(!membership.OnDatagram(from, datagram, now).m_newerConfigAt);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_datagram_in_bytes)
 
 // Guards against a field that is lost on its way, and against a size bound
