Keep the caller's time budget for large bodies

Cause: a body above 64 KiB, which is passed on as it arrives, set the time budget to the upload limit of 15 minutes, also where the caller had stated a time. Instances were told that they had 900 s, and neither the caller's deadline nor the route's timeout ended the request at the node. The time in which the body arrived was not taken off either.

Change: only a request without a stated time, by its caller or its route, gets the upload limit. Time spent on the first part of the body is taken off what is left and off the latency objective.

Before: the new drill sees 899999 ms stated for a budget of 2000 ms. After: it passes.

--- a/src/call/call.h
+++ b/src/call/call.h
@@ -43,10 +43,11 @@
   std::vector<HeaderField> m_headers; // without hop-by-hop headers
   uint64_t m_identity = 0;            // of the content, for quarantine
   Duration m_remaining{};             // caller's remaining time when sent
-  Duration m_goal{};                  // rest of the latency objective; 0: none
-  uint32_t m_routeClass = 0;          // requests of one class take similar work
-  uint32_t m_maxAttempts = 0;         // targets that may run it; 0: no bound
-  bool m_mayQueue = true; // else refused when it cannot start at once
+  bool m_timeStated = false;  // by the caller or its route; entry node only
+  Duration m_goal{};          // rest of the latency objective; 0: none
+  uint32_t m_routeClass = 0;  // requests of one class take similar work
+  uint32_t m_maxAttempts = 0; // targets that may run it; 0: no bound
+  bool m_mayQueue = true;     // else refused when it cannot start at once
   uint8_t m_priority = 100;
   bool m_idempotent = false;
   bool m_retrySpent = false;            // an earlier layer used its retry
--- a/src/frontend/caller_connection.cpp
+++ b/src/frontend/caller_connection.cpp
@@ -446,7 +446,14 @@
                            CallerAnswer& aAnswer)
 {
   using namespace asio::experimental::awaitable_operators;
+  const TimePoint began = m_shared.m_clock->Now();
   const ResultCode early = co_await aBody.Prefetch(kInlineBodyLimit);
+  const Duration took = m_shared.m_clock->Now() - began;
+  aHead.m_remaining -= took;
+  if (aHead.m_goal > Duration::zero()) {
+    // Zero would stand for a request without an objective.
+    aHead.m_goal = std::max(aHead.m_goal - took, Duration(1));
+  }
   CallResult result;
   if (early != ResultCode::Ok) {
     result.m_code = early;
@@ -458,7 +465,7 @@
   if (aBody.IsComplete()) {
     aHead.m_body = std::move(aBody.Prefetched());
     aBody.Prefetched().clear();
-  } else {
+  } else if (!aHead.m_timeStated) {
     aHead.m_remaining =
       std::max(aHead.m_remaining, m_shared.m_settings.m_uploadTimeout);
   }
--- a/src/gossip/gossip.cpp
+++ b/src/gossip/gossip.cpp
@@ -73,11 +73,14 @@
   m_random = aKernel.Find<Random>("random");
   const auto executor = aKernel.Executor();
   Endpoint& peer = m_settings.m_self.m_info.m_peer;
+  const Endpoint listen = m_settings.m_listen.value_or(peer);
   m_socket = std::make_unique<udp::socket>(
     executor,
-    udp::endpoint(asio::ip::make_address(peer.m_address), peer.m_port));
+    udp::endpoint(asio::ip::make_address(listen.m_address), listen.m_port));
   m_socket->non_blocking(true);
-  peer = FromAsio(m_socket->local_endpoint());
+  if (peer.m_port == 0 || peer == listen) {
+    peer = FromAsio(m_socket->local_endpoint());
+  }
   m_rescheduled = std::make_unique<Event>(executor);
   m_ended = std::make_unique<Event>(executor);
   const TimePoint now = m_clock->Now();
--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -148,12 +148,14 @@
 {
   MembershipSettings m_membership;
   MemberRecord m_self; // port 0 in m_peer: the bound port is used
+  // Bound in place of m_self's peer address, which other nodes then use.
+  std::optional<Endpoint> m_listen;
   std::vector<Endpoint> m_seeds;
   GossipKey m_key;
   std::optional<GossipKey> m_previousKey; // accepted during a rotation
 };
 
-// Finds "clock" and "random" at start; binds the address of m_self.m_peer.
+// Finds "clock" and "random" at start; binds the listen address.
 class GossipService
   : public Service
   , public Gossip
--- a/src/node/node_policy.cpp
+++ b/src/node/node_policy.cpp
@@ -158,6 +158,7 @@
   aHead.m_idempotent = IsIdempotent(settings, aHead.m_method, aHead.m_path);
   aHead.m_remaining =
     std::min(aAsked.value_or(settings.m_defaultTimeout), settings.m_maxTimeout);
+  aHead.m_timeStated = aAsked.has_value();
   return std::nullopt;
 }
 
@@ -233,8 +234,10 @@
   aHead.m_goal = route->m_goal;
   aHead.m_remaining =
     std::min(aAsked.value_or(settings.m_defaultTimeout), settings.m_maxTimeout);
+  aHead.m_timeStated = aAsked.has_value();
   if (route->m_timeout > Duration::zero()) {
     aHead.m_remaining = std::min(aHead.m_remaining, route->m_timeout);
+    aHead.m_timeStated = true;
   }
   return std::nullopt;
 }
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -13,6 +13,10 @@
 DEFINE_string(region, "", "region of this VM");
 DEFINE_string(listen, "127.0.0.1:8080", "IP:port for callers");
 DEFINE_string(peer_listen, "127.0.0.1:8081", "IP:port for other nodes");
+DEFINE_string(peer_advertise,
+              "",
+              "IP:port at which other nodes reach --peer_listen, TCP and UDP, "
+              "where ports are mapped; empty: the same");
 DEFINE_string(control_listen,
               "127.0.0.1:8082",
               "IP:port for the own target and administrators");
@@ -213,6 +217,10 @@
   settings.m_listen = ReadEndpoint("listen", FLAGS_listen, aFaults);
   settings.m_peerListen =
     ReadEndpoint("peer_listen", FLAGS_peer_listen, aFaults);
+  settings.m_peerAdvertise =
+    FLAGS_peer_advertise.empty()
+      ? settings.m_peerListen
+      : ReadEndpoint("peer_advertise", FLAGS_peer_advertise, aFaults);
   settings.m_controlListen =
     ReadEndpoint("control_listen", FLAGS_control_listen, aFaults);
   settings.m_peerKey = FLAGS_peer_key;
--- a/tests/drills/fleet.cpp
+++ b/tests/drills/fleet.cpp
@@ -245,7 +245,8 @@
   m_nextPort = nextPort;
   nextPort += 400;
   const auto folder = std::filesystem::temp_directory_path() /
-                      ("sassafrasquay-drill-" + std::to_string(getpid()));
+                      ("sassafrasquay-drill-" + std::to_string(getpid()) + "-" +
+                       std::to_string(m_nextPort));
   std::filesystem::create_directories(folder);
   m_logs = folder.string();
 }
@@ -317,6 +318,10 @@
     "--leave_delay_ms=200",
   };
   arguments.insert(arguments.end(), m_extraFlags.begin(), m_extraFlags.end());
+  if (aInstance.m_peerAdvertised) {
+    arguments.push_back("--peer_advertise=" +
+                        ToString(*aInstance.m_peerAdvertised));
+  }
   if (m_store) {
     const std::vector<std::string> more = PlatformFlags(aInstance);
     arguments.insert(arguments.end(), more.begin(), more.end());
@@ -338,6 +343,11 @@
   if (m_store) {
     arguments.emplace_back("--platform");
     arguments.push_back("--id=i-" + aInstance.m_node);
+    arguments.push_back("--runs_log=" + RunsLog(aInstance));
+  }
+  if (aInstance.m_targetAdvertised) {
+    arguments.push_back("--advertise=" +
+                        ToString(*aInstance.m_targetAdvertised));
   }
   aInstance.m_targetProcess = std::make_unique<Process>(
     arguments, m_logs + "/" + aInstance.m_node + ".target.log");
@@ -362,14 +372,23 @@
 std::vector<std::string>
 Fleet::PlatformFlags(const Instance& aInstance) const
 {
-  return { "--store=" + ToString(m_storeAddress),
+  const Endpoint store = aInstance.m_storeAdvertised.value_or(m_storeAddress);
+  const Endpoint target =
+    aInstance.m_targetAdvertised.value_or(aInstance.m_target);
+  return { "--store=" + ToString(store),
            "--service=" + aInstance.m_service,
-           "--target=" + ToString(aInstance.m_target),
+           "--target=" + ToString(target),
            "--bounds=budgetRatio=0.2,budgetSlack=60,budgetWindowS=10" };
 }
 
-void
-Fleet::StartOnPlatform()
+std::string
+Fleet::RunsLog(const Instance& aInstance) const
+{
+  return m_logs + "/" + aInstance.m_node + ".runs";
+}
+
+Endpoint
+Fleet::StartStore()
 {
   m_storeAddress = ReserveEndpoint();
   m_store = std::make_unique<Process>(
@@ -378,6 +397,16 @@
                               "--port=" +
                                 std::to_string(m_storeAddress.m_port) },
     m_logs + "/store.log");
+  return m_storeAddress;
+}
+
+void
+Fleet::StartOnPlatform(std::vector<std::string> aExtraFlags)
+{
+  m_extraFlags = std::move(aExtraFlags);
+  if (!m_store) {
+    StartStore();
+  }
   PublishRoutes();
   for (Instance& instance : m_instances) {
     StartNode(instance);
--- a/tests/drills/fleet.h
+++ b/tests/drills/fleet.h
@@ -90,6 +90,10 @@
   Endpoint m_control;
   Endpoint m_target;
   uint32_t m_slots = 6;
+  // Addresses that the others are given instead, for example of a proxy.
+  std::optional<Endpoint> m_peerAdvertised;
+  std::optional<Endpoint> m_targetAdvertised;
+  std::optional<Endpoint> m_storeAdvertised; // of the store, to this node
   std::unique_ptr<Process> m_nodeProcess;
   std::unique_ptr<Process> m_targetProcess;
 };
@@ -106,7 +110,9 @@
   // The same on the platform: the nodes find each other and the routes through
   // a stand-in store, and the targets speak the platform's dialect. Each
   // service has a host of its name, with the routes /safe/ and /once/.
-  void StartOnPlatform();
+  void StartOnPlatform(std::vector<std::string> aExtraFlags = {});
+  // Starts the stand-in store; StartOnPlatform does it otherwise.
+  Endpoint StartStore();
   // Publishes those routes again, as the next version.
   void PublishRoutes(uint32_t aTimeoutMs = 5000);
   // Sends a command to the stand-in store.
@@ -128,6 +134,9 @@
   std::map<std::string, uint64_t> Runs();
   // Adds the counts of a target that is about to be killed to Runs.
   void KeepRuns(const Instance& aInstance);
+  // File with a line for each run at a target on the platform: steady clock in
+  // ms, instance, identity. Outlasts the target's process.
+  std::string RunsLog(const Instance& aInstance) const;
   // The instance whose target ran the request; throws when none did.
   Instance& RanAt(const std::string& aIdentity);
   std::string Get(const Endpoint& aServer, const std::string& aPath);
--- a/tests/drills/platform_drill.cpp
+++ b/tests/drills/platform_drill.cpp
@@ -124,6 +124,22 @@
   }
 }
 
+// Guards against an instance that works on when its caller has given up,
+// because the body was too large to travel with the head.
+BOOST_AUTO_TEST_CASE(with_a_large_body_keeps_its_time_budget)
+{
+  HttpRequest upload = PostOnce("large");
+  upload.m_body.assign(200 * 1024, 'u');
+  upload.m_parts = 4;
+  upload.m_pause = std::chrono::milliseconds(100);
+  BOOST_TEST(Send(SharedFleet().At(0).m_callers, upload).m_status == 200U);
+  const Instance& ran = SharedFleet().RanAt("large");
+  const auto state =
+    boost::json::parse(SharedFleet().Get(ran.m_target, "/standin/state"));
+  const std::string stated(state.at("deadline_ms").as_string());
+  BOOST_TEST(std::stoi(stated) <= 2000);
+}
+
 // Guards against a request without a route that gets anything but 404.
 BOOST_AUTO_TEST_CASE(without_a_route_gets_404)
 {
--- a/tools/standin_store.cpp
+++ b/tools/standin_store.cpp
@@ -257,13 +257,13 @@
 {
   const uint64_t from = Number(aQuery, "from");
   const auto wait = std::chrono::milliseconds(Number(aQuery, "waitMs"));
+  if (from >= aTopic.End()) {
+    co_await aTopic.m_grown.WaitFor(wait);
+  }
   if (from < aTopic.m_first) {
     const json::object reply = { { "firstOffset", aTopic.m_first } };
     co_return Reply(410, json::serialize(reply));
   }
-  if (from >= aTopic.End()) {
-    co_await aTopic.m_grown.WaitFor(wait);
-  }
   std::string body;
   AppendBigEndian(aTopic.End(), body);
   AppendBigEndian(aTopic.m_first, body);
--- a/tools/standin_target.cpp
+++ b/tools/standin_target.cpp
@@ -3,7 +3,8 @@
 // is the oracle of the tests for at most once.
 //
 //   GET  /standin/runs            JSON: identity -> number of runs
-//   GET  /standin/state           JSON: in_use, peak, cancelled, requests
+//   GET  /standin/state           JSON: in_use, peak, cancelled, requests,
+//                                 deadline_ms of the last request
 //   POST /standin/set?name=value  see Faults
 //   POST /standin/drain, /standin/cold
 //                                 tells the node beside it
@@ -32,6 +33,7 @@
 #include <boost/json.hpp>
 #include <charconv>
 #include <cstdlib>
+#include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
 #include <map>
@@ -45,6 +47,8 @@
 DEFINE_uint32(service_ms, 0, "ms of work for each request");
 DEFINE_bool(platform, false, "speak the platform's dialect and reports");
 DEFINE_string(id, "", "instance id in the platform's reports");
+DEFINE_string(advertise, "", "address to report; empty: --listen");
+DEFINE_string(runs_log, "", "file that gets a line for each run");
 
 using namespace sassafrasquay;
 namespace beast = boost::beast;
@@ -82,11 +86,14 @@
   uint64_t m_inUse = 0;
   uint64_t m_peak = 0;
   uint64_t m_requests = 0;
+  std::string m_deadline;  // as the last request stated it
   uint64_t m_sequence = 0; // of the platform's reports
   uint64_t m_born = 0;     // Unix milliseconds
   bool m_draining = false;
+  bool m_leaving = false; // has told the node that it ends
   Endpoint m_own;
   Endpoint m_control;
+  std::ofstream m_runsLog;
 };
 
 auto
@@ -153,8 +160,10 @@
 asio::awaitable<bool>
 SendReport(State& aState)
 {
+  const std::string address =
+    FLAGS_advertise.empty() ? ToString(aState.m_own) : FLAGS_advertise;
   const json::object report = {
-    { "address", ToString(aState.m_own) },
+    { "address", address },
     { "born", aState.m_born },
     { "info",
       json::object{ { "service", FLAGS_service },
@@ -182,11 +191,10 @@
                               { "incarnation", aIncarnation } };
   asio::steady_timer timer(co_await asio::this_coro::executor);
   while (true) {
-    if (FLAGS_platform && aState.m_faults.m_muteReports != 0) {
-      // Silent until the fault is taken back.
-    } else if (FLAGS_platform) {
+    const bool silent = aState.m_leaving || aState.m_faults.m_muteReports != 0;
+    if (FLAGS_platform && !silent) {
       co_await SendReport(aState);
-    } else {
+    } else if (!FLAGS_platform) {
       co_await PostToNode(aState, "/v1/target/announce", json::serialize(body));
     }
     timer.expires_after(kAnnounceInterval);
@@ -200,6 +208,7 @@
   const json::object state = { { "in_use", aState.m_inUse },
                                { "peak", aState.m_peak },
                                { "requests", aState.m_requests },
+                               { "deadline_ms", aState.m_deadline },
                                { "cancelled", aState.m_cancelled.size() } };
   return json::serialize(state);
 }
@@ -232,6 +241,7 @@
     co_return co_await SendReport(aState) ? "ok" : "no ack";
   }
   if (aPath == "/standin/leave" && FLAGS_platform) {
+    aState.m_leaving = true;
     const bool acked = co_await CallNode(
       aState, http::verb::delete_, "/-/instances/" + FLAGS_id, "");
     co_return acked ? "ok" : "no ack";
@@ -358,10 +368,12 @@
     co_return co_await Reply(200, "cancelled", false);
   }
   if (FLAGS_platform && path == "/healthz") {
+    // As it was when the question arrived.
+    const bool healthy = !m_state.m_draining && !m_state.m_leaving;
     asio::steady_timer delay(m_stream.get_executor());
     delay.expires_after(std::chrono::milliseconds(m_state.m_faults.m_healthMs));
     co_await delay.async_wait(asio::use_awaitable);
-    co_return co_await Reply(m_state.m_draining ? 503 : 200, "", false);
+    co_return co_await Reply(healthy ? 200 : 503, "", false);
   }
   if (path.starts_with("/standin/")) {
     const std::string text = co_await RunCommand(m_state, path);
@@ -376,6 +388,7 @@
 {
   const Faults faults = m_state.m_faults;
   ++m_state.m_requests;
+  m_state.m_deadline = std::string(aRequest[kDeadlineHeader]);
   m_attempt = std::string(aRequest[kAttemptHeader]);
   const std::string expected(aRequest[kExpectHeader]);
   if (!expected.empty() && expected != FLAGS_id) {
@@ -391,6 +404,12 @@
   const std::string identity = IdentityOf(aRequest);
   const std::string path(aRequest.target());
   ++m_state.m_runs[identity];
+  if (m_state.m_runsLog.is_open()) {
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    m_state.m_runsLog
+      << std::chrono::duration_cast<std::chrono::milliseconds>(now).count()
+      << ' ' << FLAGS_id << ' ' << identity << std::endl;
+  }
   if (faults.m_crashPath != 0 && path.find("crash") != std::string::npos) {
     std::_Exit(134);
   }
@@ -491,6 +510,9 @@
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
   State state;
   state.m_faults.m_serviceMs = FLAGS_service_ms;
+  if (!FLAGS_runs_log.empty()) {
+    state.m_runsLog.open(FLAGS_runs_log, std::ios::app);
+  }
   if (!ParseEndpoint(FLAGS_listen, state.m_own)) {
     std::cerr << "standin_target: --listen must be IP:port\n";
     return 2;
