Let a repeated SIGTERM change nothing; SIGINT ends a shutdown at once

Cause: a second SIGTERM during a planned stop ended the process and cut the requests that the first one lets finish. Stops overlap in practice (a roll over the machines and a single stop), so the second one is planned work, too.

Change: NodeShutdown knows Stop, which a repeat leaves as it is, and EndNow, which SIGINT asks for. The unit test said that a second signal stops at once; that check was wrong for SIGTERM and is replaced by one for each of the two.

Conclusion: only a person at a terminal, the limit or SIGKILL cut a stop short.

--- a/src/lifecycle/lifecycle.cpp
+++ b/src/lifecycle/lifecycle.cpp
@@ -215,6 +215,8 @@
 
 struct StopAsked
 {};
+struct EndAsked
+{};
 struct LeaveKnown
 {};
 struct AllDrained
@@ -233,8 +235,8 @@
     : boost::mpl::vector<On<Running, StopAsked, Announcing>,
                          On<Announcing, LeaveKnown, Draining>,
                          On<Draining, AllDrained, Stopped>,
-                         On<Announcing, StopAsked, Stopped>,
-                         On<Draining, StopAsked, Stopped>>
+                         On<Announcing, EndAsked, Stopped>,
+                         On<Draining, EndAsked, Stopped>>
   {};
 
   ShutdownState m_state = ShutdownState::Running;
@@ -287,6 +289,12 @@
   return m_machine->Process(StopAsked());
 }
 
+bool
+NodeShutdown::EndNow()
+{
+  return m_machine->Process(EndAsked());
+}
+
 bool
 NodeShutdown::LeaveIsKnown()
 {
--- a/src/lifecycle/lifecycle.h
+++ b/src/lifecycle/lifecycle.h
@@ -82,7 +82,8 @@
   ShutdownState State() const;
   bool AcceptsWork() const; // while running or announcing
 
-  bool Stop();         // first SIGTERM; a second one stops at once
+  bool Stop();         // a repeated one changes nothing
+  bool EndNow();       // cuts a shutdown short; nothing before Stop
   bool LeaveIsKnown(); // the announcement had its time to spread
   bool Drained();      // no exchange is open
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -112,7 +112,7 @@
   PolicySettings MakePolicySettings() const;
   RetrySettings MakeRetrySettings() const;
   asio::awaitable<void> WaitForSignal(asio::signal_set& aSignals);
-  asio::awaitable<void> EndOnSecondSignal(asio::signal_set& aSignals);
+  asio::awaitable<void> EndOnInterrupt(asio::signal_set& aSignals);
   asio::awaitable<void> EndAtLimit(asio::any_io_executor aExecutor);
   asio::awaitable<void> WatchNodeFile(asio::any_io_executor aExecutor);
   asio::awaitable<void> FlushLog(asio::any_io_executor aExecutor);
@@ -229,7 +229,8 @@
   member.m_brief.m_key = KeyOf(m_settings.m_node);
   member.m_brief.m_incarnation = m_incarnation;
   member.m_info.m_id = m_settings.m_node;
-  member.m_info.m_peer = m_settings.m_peerListen;
+  member.m_info.m_peer = m_settings.m_peerAdvertise;
+  gossip.m_listen = m_settings.m_peerListen;
   member.m_info.m_region = m_settings.m_region;
   member.m_info.m_zone = m_settings.m_zone;
   gossip.m_seeds = m_settings.m_seeds;
@@ -266,7 +267,7 @@
     m_policy = MakePublishedPolicy(MakePolicySettings());
     aKernel.Add("operator_follower", MakeOperatorFollower(FollowSettings()));
     SeedFinderSettings seeds;
-    seeds.m_self = m_settings.m_peerListen;
+    seeds.m_self = m_settings.m_peerAdvertise;
     aKernel.Add("seed_finder", MakeSeedFinder(seeds));
   } else {
     aKernel.Add("caller_dialect", MakeCallerDialect());
@@ -373,8 +374,7 @@
     asio::co_spawn(
       aKernel.Executor(), EndAtLimit(aKernel.Executor()), asio::detached);
   }
-  asio::co_spawn(
-    aKernel.Executor(), EndOnSecondSignal(signals), asio::detached);
+  asio::co_spawn(aKernel.Executor(), EndOnInterrupt(signals), asio::detached);
   m_logger->Write(LogLevel::Info,
                   "shutdown_started",
                   { { "leave_delay_ms", m_settings.m_leaveDelay } });
@@ -465,16 +465,21 @@
   std::_Exit(kExitEndedEarly);
 }
 
+// Planned stops overlap, so a repeated SIGTERM must not cut what the first one
+// lets finish. SIGINT comes from a person who does not want to wait.
 asio::awaitable<void>
-Node::EndOnSecondSignal(asio::signal_set& aSignals)
+Node::EndOnInterrupt(asio::signal_set& aSignals)
 {
   boost::system::error_code error;
-  int signal = SIGHUP;
-  while (!error && signal == SIGHUP) {
+  int signal = SIGTERM;
+  while (!error && signal != SIGINT) {
     signal = co_await aSignals.async_wait(
       asio::redirect_error(asio::use_awaitable, error));
+    if (!error && signal == SIGTERM) {
+      m_logger->Write(LogLevel::Info, "shutdown_continues", {});
+    }
   }
-  if (!error) {
+  if (!error && m_shutdown.EndNow()) {
     m_logger->Write(LogLevel::Warning, "shutdown_cut_short", {});
     m_logger->Flush();
     std::_Exit(kExitEndedEarly);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -22,6 +22,7 @@
   std::string m_region;
   Endpoint m_listen;                     // callers
   Endpoint m_peerListen;                 // other nodes
+  Endpoint m_peerAdvertise;              // where they reach m_peerListen
   Endpoint m_controlListen;              // the target and administrators
   std::optional<Endpoint> m_readyListen; // readiness checks only
   std::optional<Endpoint> m_adminListen; // metrics and status only
@@ -64,8 +65,8 @@
 //-----------------------------------------------------------------------------
 
 // Runs the node until SIGTERM or SIGINT; returns the exit code: 0 after a
-// graceful shutdown, 1 when a service could not start, 3 when a second signal
-// ended the shutdown early.
+// graceful shutdown, 1 when a service could not start, 3 when SIGINT during the
+// shutdown, or its limit, ended it early.
 int
 RunNode(const NodeSettings& aSettings);
 
--- a/tests/drills/path_drill.cpp
+++ b/tests/drills/path_drill.cpp
@@ -198,7 +198,7 @@
 BOOST_AUTO_TEST_SUITE(a_planned_stop_cuts_nothing)
 
 // Guards against a shutdown that cuts an upload in progress, at the entry node
-// and at the target's node.
+// and at the target's node, and against a second stop that overlaps the first.
 BOOST_AUTO_TEST_CASE(an_upload_in_progress_finishes)
 {
   Fleet fleet;
@@ -216,6 +216,9 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(500));
   fleet.At(0).m_nodeProcess->Signal(SIGTERM);
   fleet.At(1).m_nodeProcess->Signal(SIGTERM);
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  fleet.At(0).m_nodeProcess->Signal(SIGTERM);
+  fleet.At(1).m_nodeProcess->Signal(SIGTERM);
   caller.join();
   BOOST_TEST(reply.m_whole);
   BOOST_TEST(reply.m_status == 200U);
--- a/tests/unit/lifecycle_test.cpp
+++ b/tests/unit/lifecycle_test.cpp
@@ -50,22 +50,27 @@
 
 BOOST_AUTO_TEST_SUITE(a_node_that_stops)
 
-// Guards against an end before the drain, and against a second signal ignored.
-BOOST_AUTO_TEST_CASE(drains_before_it_ends_unless_told_twice)
+// Guards against an end before the drain, against a repeated stop that cuts it
+// short, and against an end on command that is ignored.
+BOOST_AUTO_TEST_CASE(drains_before_it_ends_unless_told_to_end_now)
 {
   NodeShutdown slow;
   BOOST_TEST(!slow.Drained());
   BOOST_TEST(slow.Stop());
+  BOOST_TEST(!slow.Stop());
   BOOST_TEST(slow.AcceptsWork());
   BOOST_TEST(!slow.Drained());
   BOOST_TEST(slow.LeaveIsKnown());
+  BOOST_TEST(!slow.Stop());
   BOOST_TEST(!slow.AcceptsWork());
+  BOOST_TEST(slow.State() == ShutdownState::Draining);
   BOOST_TEST(slow.Drained());
   BOOST_TEST(slow.State() == ShutdownState::Stopped);
 
   NodeShutdown fast;
+  BOOST_TEST(!fast.EndNow());
   fast.Stop();
-  BOOST_TEST(fast.Stop());
+  BOOST_TEST(fast.EndNow());
   BOOST_TEST(fast.State() == ShutdownState::Stopped);
 }
 
