Move the questions to the own target out of the gateway

Change: TargetProbes holds the budget of questions and asks for health and load; the gateway keeps the decisions on what to do with the answers. FateOf moves to the result that it reads.

--- a/src/upstream/gateway.cpp
+++ b/src/upstream/gateway.cpp
@@ -2,8 +2,7 @@
 #include "logging/logging.h"
 #include "metrics/metrics.h"
 #include "quarantine/quarantine.h"
-#include "routing/routing.h"
-#include "upstream/target_client.h"
+#include "upstream/target_probes.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -14,20 +13,6 @@
 
 constexpr uint32_t kMaxSlots = 4096;
 
-CallEnd
-FateOf(const TargetResult& aSent)
-{
-  if (aSent.m_end == ServiceEnd::Shed) {
-    return CallEnd::Shed;
-  }
-  if (aSent.m_run == Run::No) {
-    return CallEnd::Unsent;
-  }
-  const bool whole =
-    aSent.m_end == ServiceEnd::Completed || aSent.m_end == ServiceEnd::Error;
-  return whole ? CallEnd::Answered : CallEnd::Broken;
-}
-
 // A queued call that waits for its verdict.
 struct Waiter
 {
@@ -109,6 +94,7 @@
   std::shared_ptr<Quarantine> m_quarantine;
   MetricCounter* m_crashes = nullptr;
   std::unique_ptr<TargetClient> m_client;
+  std::unique_ptr<TargetProbes> m_probes;
   std::optional<TargetAnnouncement> m_target;
   std::string m_drainedId; // the last one that was told to get no new work
   std::unordered_map<CallId, Waiter*> m_waiting;
@@ -116,14 +102,9 @@
   TimePoint m_armed = TimePoint::max(); // when the tick coroutine wakes
   std::unique_ptr<Event> m_changed;     // the target's state
   std::unique_ptr<Event> m_queued;      // a tick may be due earlier than before
-  ServiceTraits m_traits;
-  uint32_t m_slowness = 100; // as the target last stated it
-  TimePoint m_loadAt{};      // when it did
+  uint32_t m_slowness = 100;            // as the target last stated it
+  TimePoint m_loadAt{};                 // when it did
   bool m_nodeLeaving = false;
-  bool m_statesLoad = true; // until a health answer comes without it
-  bool m_probing = false;
-  std::optional<ProbeBudget> m_probeBudget;
-  std::unique_ptr<Event> m_probed;
   uint64_t m_process = 0; // counts the targets that were announced
   uint32_t m_calls = 0;
   bool m_stopping = false;
@@ -212,16 +193,12 @@
   m_changed = std::make_unique<Event>(m_executor);
   m_queued = std::make_unique<Event>(m_executor);
   asio::co_spawn(m_executor, RunTicks(), asio::detached);
-  m_probed = std::make_unique<Event>(m_executor);
+  m_probes =
+    std::make_unique<TargetProbes>(m_settings, m_executor, m_clock, *m_client);
   if (!m_settings.m_expectedService.empty()) {
     asio::co_spawn(m_executor, FindTarget(), asio::detached);
   }
   if (m_settings.m_loadMaxAge > Duration::zero()) {
-    ProbeBudgetSettings budget;
-    budget.m_perSecond = m_settings.m_probesPerSecond;
-    budget.m_burst = m_settings.m_probesPerSecond;
-    budget.m_perRequest = m_settings.m_probesPerRequest;
-    m_probeBudget.emplace(budget, m_clock->Now());
     asio::co_spawn(m_executor, RunProbes(), asio::detached);
   }
   co_return;
@@ -413,9 +390,7 @@
   if (!m_target || m_target->m_service != aHead.m_service) {
     co_return RefuseQueued(aHead, ResultCode::NotReady);
   }
-  if (m_probeBudget) {
-    m_probeBudget->OnRequest();
-  }
+  m_probes->OnRequest();
   co_await RefreshLoad();
   const AdmissionResult admitted = co_await Admit(aHead, deadline);
   if (admitted.m_verdict != AdmissionVerdict::Admitted) {
@@ -620,7 +595,7 @@
 void
 Gateway::SetTraits(const ServiceTraits& aTraits)
 {
-  m_traits = aTraits;
+  m_probes->SetPath(aTraits.m_healthPath);
   m_admission->SetColdRate(aTraits.m_coldPerSecond);
 }
 
@@ -643,71 +618,29 @@
   asio::steady_timer timer(m_executor);
   const TimePoint end = m_clock->Now() + m_settings.m_discoveryTime;
   while (!m_stopping && !m_target && m_clock->Now() < end) {
-    const std::string path = m_traits.m_healthPath;
-    std::optional<HealthFacts> health;
-    if (!path.empty()) {
-      health = co_await m_client->Probe(m_settings.m_expectedAddress, path);
-    }
-    const bool usable = health && health->m_healthy && health->m_load &&
-                        !health->m_id.empty() && !m_target &&
-                        health->m_id != m_drainedId;
-    if (usable) {
-      TargetAnnouncement target;
-      target.m_id = health->m_id;
-      target.m_service = m_settings.m_expectedService;
-      target.m_slots = health->m_load->m_slots;
-      target.m_address = m_settings.m_expectedAddress;
-      target.m_incarnation = kUnknownIncarnation;
-      Announce(target);
-      StateCold(health->m_coldLeft);
-      TakeLoad(health->m_load);
+    const std::optional<FoundTarget> found = co_await m_probes->AskExpected();
+    if (found && !m_target && found->m_target.m_id != m_drainedId) {
+      Announce(found->m_target);
+      StateCold(found->m_coldLeft);
+      TakeLoad(found->m_load);
     }
     timer.expires_after(m_settings.m_discoveryPause);
     co_await timer.async_wait(asio::use_awaitable);
   }
 }
 
-// Asks the target for its load when its last word is too old; concurrent
-// callers wait for one answer.
+// Asks the target for its load when its last word is too old.
 asio::awaitable<void>
 Gateway::RefreshLoad()
 {
-  const Duration maxAge = m_settings.m_loadMaxAge;
-  if (maxAge <= Duration::zero() || !m_target || !m_statesLoad ||
-      m_traits.m_healthPath.empty() || m_clock->Now() - m_loadAt < maxAge) {
-    co_return;
-  }
-  if (m_probing) {
-    co_await m_probed->Wait();
-    co_return;
-  }
-  if (!m_probeBudget->Take(m_clock->Now())) {
+  if (!m_target) {
     co_return;
   }
-  // Wakes the others on every way out, also on cancellation.
-  struct Guard
-  {
-    Gateway& m_gateway;
-    explicit Guard(Gateway& aGateway)
-      : m_gateway(aGateway)
-    {
-      m_gateway.m_probing = true;
-    }
-    ~Guard()
-    {
-      m_gateway.m_probing = false;
-      m_gateway.m_probed->Notify();
-    }
-  };
-  const Guard guard(*this);
   const TargetAnnouncement target = *m_target;
-  const std::optional<HealthFacts> health =
-    co_await m_client->Probe(target.m_address, m_traits.m_healthPath);
-  const bool same = health && m_target == target &&
-                    (health->m_id.empty() || health->m_id == target.m_id);
-  if (same) {
-    m_statesLoad = health->m_load.has_value();
-    TakeLoad(health->m_load);
+  const std::optional<TargetLoad> load =
+    co_await m_probes->AskLoad(target, m_loadAt);
+  if (m_target == target) {
+    TakeLoad(load);
   }
 }
 
--- a/src/upstream/target_client.cpp
+++ b/src/upstream/target_client.cpp
@@ -652,6 +652,20 @@
 
 } // namespace
 
+CallEnd
+FateOf(const TargetResult& aSent)
+{
+  if (aSent.m_end == ServiceEnd::Shed) {
+    return CallEnd::Shed;
+  }
+  if (aSent.m_run == Run::No) {
+    return CallEnd::Unsent;
+  }
+  const bool whole =
+    aSent.m_end == ServiceEnd::Completed || aSent.m_end == ServiceEnd::Error;
+  return whole ? CallEnd::Answered : CallEnd::Broken;
+}
+
 std::unique_ptr<TargetClient>
 MakeTargetClient(UpstreamSettings aSettings,
                  asio::any_io_executor aExecutor,
--- a/src/upstream/target_client.h
+++ b/src/upstream/target_client.h
@@ -3,6 +3,7 @@
 
 #include "admission/admission.h"
 #include "dialect/dialect.h"
+#include "idempotency/idempotency.h"
 #include "upstream/upstream.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -21,6 +22,10 @@
   std::optional<TargetLoad> m_load; // as the target states it on its answer
 };
 
+// What the ledger learns from it.
+CallEnd
+FateOf(const TargetResult& aSent);
+
 class TargetClient
 {
 public:
--- /dev/null
+++ b/src/upstream/target_probes.cpp
@@ -0,0 +1,112 @@
+// Health and load of the own target, within a budget of questions.
+#include "upstream/target_probes.h"
+
+namespace sassafrasquay {
+
+namespace {
+
+ProbeBudgetSettings
+BudgetOf(const UpstreamSettings& aSettings)
+{
+  ProbeBudgetSettings budget;
+  budget.m_perSecond = aSettings.m_probesPerSecond;
+  budget.m_burst = aSettings.m_probesPerSecond;
+  budget.m_perRequest = aSettings.m_probesPerRequest;
+  return budget;
+}
+
+} // namespace
+
+TargetProbes::TargetProbes(UpstreamSettings aSettings,
+                           const asio::any_io_executor& aExecutor,
+                           std::shared_ptr<Clock> aClock,
+                           TargetClient& aClient)
+  : m_settings(std::move(aSettings))
+  , m_clock(std::move(aClock))
+  , m_client(aClient)
+  , m_answered(aExecutor)
+{
+  if (m_settings.m_loadMaxAge > Duration::zero()) {
+    m_budget.emplace(BudgetOf(m_settings), m_clock->Now());
+  }
+}
+
+void
+TargetProbes::OnRequest()
+{
+  if (m_budget) {
+    m_budget->OnRequest();
+  }
+}
+
+bool
+TargetProbes::Wanted() const
+{
+  return m_budget && m_statesLoad && !m_path.empty();
+}
+
+asio::awaitable<std::optional<TargetLoad>>
+TargetProbes::AskLoad(const TargetAnnouncement& aTarget, TimePoint aSaid)
+{
+  if (!Wanted() || m_clock->Now() - aSaid < m_settings.m_loadMaxAge) {
+    co_return std::nullopt;
+  }
+  if (m_asking) {
+    co_await m_answered.Wait();
+    co_return std::nullopt;
+  }
+  if (!m_budget->Take(m_clock->Now())) {
+    co_return std::nullopt;
+  }
+  // Wakes the others on every way out, also on cancellation.
+  struct Guard
+  {
+    TargetProbes& m_probes;
+    explicit Guard(TargetProbes& aProbes)
+      : m_probes(aProbes)
+    {
+      m_probes.m_asking = true;
+    }
+    ~Guard()
+    {
+      m_probes.m_asking = false;
+      m_probes.m_answered.Notify();
+    }
+  };
+  const Guard guard(*this);
+  const std::optional<HealthFacts> health =
+    co_await m_client.Probe(aTarget.m_address, m_path);
+  const bool same =
+    health && (health->m_id.empty() || health->m_id == aTarget.m_id);
+  if (!same) {
+    co_return std::nullopt;
+  }
+  m_statesLoad = health->m_load.has_value();
+  co_return health->m_load;
+}
+
+asio::awaitable<std::optional<FoundTarget>>
+TargetProbes::AskExpected()
+{
+  if (m_path.empty()) {
+    co_return std::nullopt;
+  }
+  const std::optional<HealthFacts> health =
+    co_await m_client.Probe(m_settings.m_expectedAddress, m_path);
+  const bool usable =
+    health && health->m_healthy && health->m_load && !health->m_id.empty();
+  if (!usable) {
+    co_return std::nullopt;
+  }
+  FoundTarget found;
+  found.m_target.m_id = health->m_id;
+  found.m_target.m_service = m_settings.m_expectedService;
+  found.m_target.m_slots = health->m_load->m_slots;
+  found.m_target.m_address = m_settings.m_expectedAddress;
+  found.m_target.m_incarnation = kUnknownIncarnation;
+  found.m_coldLeft = health->m_coldLeft;
+  found.m_load = *health->m_load;
+  co_return found;
+}
+
+} // namespace sassafrasquay
