--- a/src/node/fleet_view.cpp
+++ b/src/node/fleet_view.cpp
@@ -3,6 +3,7 @@
 
 #include "gossip/gossip.h"
 #include "logging/logging.h"
+#include "metrics/metrics.h"
 #include "retry/retry.h"
 #include "routing/routing.h"
 #include "upstream/upstream.h"
@@ -43,6 +44,8 @@
   TargetInfo OwnTarget() const;
   void Update(const MemberChange& aChange, std::set<std::string>& aServices);
   void PassOn(const std::set<std::string>& aServices);
+  void CountTargets(const std::string& aService,
+                    const std::vector<TargetInfo>& aTargets);
   void LogChange(const MemberChange& aChange);
 
   NodeId m_self;
@@ -50,6 +53,7 @@
   std::string m_region;
   std::shared_ptr<Clock> m_clock;
   std::shared_ptr<Logger> m_logger;
+  std::shared_ptr<Metrics> m_metrics;
   std::shared_ptr<Gossip> m_gossip;
   std::shared_ptr<Router> m_router;
   std::shared_ptr<RetryPolicy> m_retry;
@@ -65,6 +69,7 @@
 {
   m_clock = aKernel.Find<Clock>("clock");
   m_logger = aKernel.Find<Logger>("logger");
+  m_metrics = aKernel.Find<Metrics>("metrics");
   m_gossip = aKernel.Find<Gossip>("gossip");
   m_router = aKernel.Find<Router>("router");
   m_retry = aKernel.Find<RetryPolicy>("retry");
@@ -172,6 +177,25 @@
   }
   for (const auto& [service, targets] : lists) {
     m_router->SetTargets(service, targets, m_clock->Now());
+    CountTargets(service, targets);
+  }
+}
+
+void
+FleetView::CountTargets(const std::string& aService,
+                        const std::vector<TargetInfo>& aTargets)
+{
+  std::array<size_t, 3> counts{}; // warm, cold, leaving
+  for (const TargetInfo& target : aTargets) {
+    ++counts[target.m_leaving ? 2 : (target.m_cold ? 1 : 0)];
+  }
+  static constexpr std::array kStates = { "warm", "cold", "leaving" };
+  for (size_t i = 0; i < counts.size(); ++i) {
+    m_metrics
+      ->Gauge("sassafrasquay_service_targets",
+              "Targets of a service that this node knows, by their state.",
+              { { "service", aService }, { "state", kStates[i] } })
+      .Set(static_cast<double>(counts[i]));
   }
 }
 
@@ -190,7 +214,8 @@
       { "forgotten", aChange.m_forgotten },
       { "service", record.m_info.m_service },
       { "zone", record.m_info.m_zone },
-      { "cold", record.m_brief.m_cold } });
+      { "cold", record.m_brief.m_cold },
+      { "target_leaving", ToTargetInfo(record).m_leaving } });
 }
 
 } // namespace
--- a/tests/drills/platform_drill.cpp
+++ b/tests/drills/platform_drill.cpp
@@ -270,6 +270,11 @@
   fleet.StartOnPlatform();
   BOOST_TEST(fleet.Get(fleet.At(1).m_target, "/standin/drain") == "ok");
   Sleep(500);
+  // The other node's metrics say so, too.
+  const std::string metrics = fleet.Get(fleet.At(0).m_control, "/metrics");
+  const std::string gauge = "sassafrasquay_service_targets{service=\"lessons\"";
+  BOOST_TEST(metrics.find(gauge + ",state=\"leaving\"} 1") !=
+             std::string::npos);
   const uint64_t before = RequestsAt(fleet, fleet.At(1));
   for (size_t i = 0; i < 40; ++i) {
     const HttpReply reply =
