Tell other nodes of a stop after its callers have left

Cause: a node that is told to stop announced it at once and kept its listeners open for 2.5 s, because callers need up to two failed readiness checks, one a second, to leave. Other nodes need a few gossip rounds only, so the target was out of use for 2.5 s longer than needed, at each restart of each node.

Change: NodeShutdown gets the state Unready.

--- a/src/lifecycle/lifecycle.cpp
+++ b/src/lifecycle/lifecycle.cpp
@@ -217,6 +217,8 @@
 {};
 struct EndAsked
 {};
+struct CallersGone
+{};
 struct LeaveKnown
 {};
 struct AllDrained
@@ -225,6 +227,7 @@
 struct ShutdownTable : Ignoring<ShutdownTable>
 {
   using Running = At<ShutdownState::Running>;
+  using Unready = At<ShutdownState::Unready>;
   using Announcing = At<ShutdownState::Announcing>;
   using Draining = At<ShutdownState::Draining>;
   using Stopped = At<ShutdownState::Stopped>;
@@ -232,9 +235,11 @@
 
   // NOLINTNEXTLINE: name given by MSM
   struct transition_table
-    : boost::mpl::vector<On<Running, StopAsked, Announcing>,
+    : boost::mpl::vector<On<Running, StopAsked, Unready>,
+                         On<Unready, CallersGone, Announcing>,
                          On<Announcing, LeaveKnown, Draining>,
                          On<Draining, AllDrained, Stopped>,
+                         On<Unready, EndAsked, Stopped>,
                          On<Announcing, EndAsked, Stopped>,
                          On<Draining, EndAsked, Stopped>>
   {};
@@ -253,6 +258,8 @@
   switch (aState) {
     case ShutdownState::Running:
       return "running";
+    case ShutdownState::Unready:
+      return "unready";
     case ShutdownState::Announcing:
       return "announcing";
     case ShutdownState::Draining:
@@ -279,8 +286,8 @@
 bool
 NodeShutdown::AcceptsWork() const
 {
-  return State() == ShutdownState::Running ||
-         State() == ShutdownState::Announcing;
+  return State() != ShutdownState::Draining &&
+         State() != ShutdownState::Stopped;
 }
 
 bool
@@ -295,6 +302,12 @@
   return m_machine->Process(EndAsked());
 }
 
+bool
+NodeShutdown::CallersLeft()
+{
+  return m_machine->Process(CallersGone());
+}
+
 bool
 NodeShutdown::LeaveIsKnown()
 {
--- a/src/lifecycle/lifecycle.h
+++ b/src/lifecycle/lifecycle.h
@@ -64,6 +64,7 @@
 enum class ShutdownState : uint8_t
 {
   Running,
+  Unready,    // readiness checks fail, so callers leave; work goes on
   Announcing, // other nodes are told; calls still on their way are served
   Draining,   // no new work; open exchanges finish
   Stopped
@@ -80,10 +81,11 @@
   ~NodeShutdown();
 
   ShutdownState State() const;
-  bool AcceptsWork() const; // while running or announcing
+  bool AcceptsWork() const; // until it drains
 
   bool Stop();         // a repeated one changes nothing
   bool EndNow();       // cuts a shutdown short; nothing before Stop
+  bool CallersLeft();  // readiness checks had their time to fail
   bool LeaveIsKnown(); // the announcement had its time to spread
   bool Drained();      // no exchange is open
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -377,14 +377,20 @@
   asio::co_spawn(aKernel.Executor(), EndOnInterrupt(signals), asio::detached);
   m_logger->Write(LogLevel::Info,
                   "shutdown_started",
-                  { { "leave_delay_ms", m_settings.m_leaveDelay } });
+                  { { "unready_ms", m_settings.m_unreadyTime },
+                    { "leave_delay_ms", m_settings.m_leaveDelay } });
+  // Callers need longer to leave than other nodes, so the target is used on
+  // while readiness checks fail.
+  asio::steady_timer timer(aKernel.Executor());
+  timer.expires_after(m_settings.m_unreadyTime);
+  co_await timer.async_wait(asio::use_awaitable);
+  m_shutdown.CallersLeft();
   // Gossip may take several rounds to reach an entry node; answers tell those
   // that send work at once.
   m_target->SetNodeLeaving();
   m_gossip->Leave();
   // Other nodes learn of the leaving before the listeners close.
-  asio::steady_timer timer(aKernel.Executor());
-  timer.expires_after(m_settings.m_leaveDelay);
+  timer.expires_after(m_settings.m_leaveDelay - m_settings.m_unreadyTime);
   co_await timer.async_wait(asio::use_awaitable);
   m_shutdown.LeaveIsKnown();
   co_await aKernel.StopAll();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -45,7 +45,8 @@
   Duration m_defaultTimeout{};
   Duration m_maxTimeout{};
   Duration m_uploadTimeout{};
-  Duration m_leaveDelay{};    // time for the news of leaving to spread
+  Duration m_leaveDelay{};    // from the signal to the listeners' end
+  Duration m_unreadyTime{};   // part of it in which other nodes go on as before
   Duration m_shutdownLimit{}; // from the signal to a forced end; 0: none
   Duration m_loadMaxAge{};    // of the target's stated load; 0: never asked
 };
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -68,7 +68,12 @@
               "ms until the answer must begin, for a body above 64 KiB");
 DEFINE_uint32(leave_delay_ms,
               1000,
-              "ms between announcing a shutdown and closing the listeners");
+              "ms between the signal to stop and closing the listeners");
+DEFINE_uint32(
+  unready_ms,
+  0,
+  "ms of --leave_delay_ms in which readiness checks fail, but other "
+  "nodes still send work; they are told afterwards");
 DEFINE_uint32(shutdown_limit_ms,
               0,
               "ms from the first signal to a forced end of the process; 0: "
@@ -197,6 +202,10 @@
   aSettings.m_uploadTimeout =
     read("upload_timeout_ms", FLAGS_upload_timeout_ms);
   aSettings.m_leaveDelay = std::chrono::milliseconds(FLAGS_leave_delay_ms);
+  aSettings.m_unreadyTime = std::chrono::milliseconds(FLAGS_unready_ms);
+  if (aSettings.m_unreadyTime > aSettings.m_leaveDelay) {
+    aFaults.emplace_back("--unready_ms must not be above --leave_delay_ms");
+  }
   aSettings.m_shutdownLimit =
     std::chrono::milliseconds(FLAGS_shutdown_limit_ms);
   aSettings.m_loadMaxAge = std::chrono::milliseconds(FLAGS_load_max_age_ms);
--- a/tests/drills/platform_drill.cpp
+++ b/tests/drills/platform_drill.cpp
@@ -260,6 +260,32 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_node_that_is_told_to_stop)
+
+// Guards against an instance that is out of use for as long as its node waits
+// for callers to leave, and against a request that the stop cuts.
+BOOST_AUTO_TEST_CASE(keeps_its_instance_in_use_until_its_callers_have_left)
+{
+  Fleet fleet;
+  fleet.Add("fees", 1);
+  fleet.Add("lessons", 1);
+  fleet.StartOnPlatform({ "--leave_delay_ms=2500", "--unready_ms=1800" });
+  const Instance& second = fleet.At(1);
+  second.m_nodeProcess->Signal(SIGTERM);
+  Sleep(100);
+  BOOST_TEST(fleet.Get(second.m_control, "/-/readyz").find("shutting down") !=
+             std::string::npos);
+  for (size_t i = 0; second.m_nodeProcess->IsRunning() && i < 500; ++i) {
+    const std::string id = "s-" + std::to_string(i);
+    const HttpReply reply = Send(fleet.At(0).m_callers, Ask("/safe/1", id));
+    BOOST_TEST((reply.m_status == 200U || (i > 40 && reply.m_status == 503U)));
+    Sleep(20);
+  }
+  BOOST_TEST(second.m_nodeProcess->Wait() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(an_instance_that_drains)
 
 // Guards against new requests after its leaving was acknowledged.
--- a/tests/unit/lifecycle_test.cpp
+++ b/tests/unit/lifecycle_test.cpp
@@ -58,6 +58,8 @@
   BOOST_TEST(!slow.Drained());
   BOOST_TEST(slow.Stop());
   BOOST_TEST(!slow.Stop());
+  BOOST_TEST(!slow.LeaveIsKnown());
+  BOOST_TEST(slow.CallersLeft());
   BOOST_TEST(slow.AcceptsWork());
   BOOST_TEST(!slow.Drained());
   BOOST_TEST(slow.LeaveIsKnown());
