Announce the end of a link, so that a call that crosses it has not run

Cause: a stopping node closed its idle links, and busy ones after their call, without a word. A call that an entry node had just sent on such a link met a closed connection: its fate was unknown (PeerLost), and work that must not repeat ended as 502 in place of going to another node.

Change: the frame closing, which the accepting side sends before it ends a link; from then on it begins no call on it and reads on for 300 ms, so that nothing is reset. The connecting side takes the frame as proof that its call did not run (NodeStopping).

Ruled out: a longer time between the announcement and the end; the race stays with any length. A FIN as the sign: the kernel sends one for a killed process, too.

Before: the three new unit tests fail with the old ends of either side (each seen). After: they pass, with all unit tests, drills and fuzz tests.

--- a/src/peer/exchange.cpp
+++ b/src/peer/exchange.cpp
@@ -99,6 +99,10 @@
       HandleLinkError(error);
       co_return m_result;
     }
+    if (std::holds_alternative<ClosingFrame>(frame.m_content)) {
+      HandleClosing();
+      co_return m_result;
+    }
     if (frame.m_call != m_head.m_call) {
       HandleLinkError(ResultCode::MalformedFrame);
       co_return m_result;
@@ -175,6 +179,18 @@
   m_clean = m_bodyDone || !m_admitted;
 }
 
+// The peer had closed the link for calls before it received this one.
+void
+Exchange::HandleClosing()
+{
+  if (m_admitted || m_result.m_answerStarted) {
+    HandleLinkError(ResultCode::MalformedFrame);
+    return;
+  }
+  m_result.m_code = ResultCode::NodeStopping;
+  m_result.m_run = Run::No;
+}
+
 void
 Exchange::HandleLinkError(const std::error_code& aError)
 {
--- a/src/peer/exchange.h
+++ b/src/peer/exchange.h
@@ -30,6 +30,7 @@
   asio::awaitable<bool> HandleFrame(const PeerFrame& aFrame);
   asio::awaitable<bool> PassChunk(const AnswerChunkFrame& aChunk);
   void HandleEnd(const EndedFrame& aFrame);
+  void HandleClosing();
   void HandleLinkError(const std::error_code& aError);
   Duration ReceiveTimeout() const;
 
--- a/src/peer/peer_server.cpp
+++ b/src/peer/peer_server.cpp
@@ -17,6 +17,8 @@
 
 // Longer than the connecting side keeps an idle link, so that it closes first.
 constexpr Duration kIdleMargin = std::chrono::seconds(30);
+// Longer than a frame is on its way between two nodes.
+constexpr Duration kClosingTime = std::chrono::milliseconds(300);
 constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
 
 // Hands body frames from the reading branch to the gateway, one at a time, so
@@ -177,6 +179,16 @@
   m_stopping = true;
   boost::system::error_code ignored;
   m_acceptor->close(ignored);
+  const auto idle = m_idle; // a link leaves the set when its peer closes it
+  for (const auto& link : idle) {
+    co_await link->Send(CallId(), ClosingFrame{});
+  }
+  // What is on its way on these links meets the frame above. A link that ends
+  // a call later says the same for itself.
+  const TimePoint limit = m_clock->Now() + kClosingTime;
+  while (!m_idle.empty() && m_clock->Now() < limit) {
+    co_await m_changed->WaitFor(limit - m_clock->Now());
+  }
   for (const auto& link : m_idle) {
     link->Close();
   }
@@ -218,12 +230,16 @@
   } else {
     PeerFrame frame;
     bool open = true;
-    while (open && !m_stopping) {
+    while (open) {
+      if (m_stopping) {
+        co_await aLink->Send(CallId(), ClosingFrame{});
+      }
       m_idle.insert(aLink);
-      const auto failed =
-        co_await aLink->Receive(frame, m_settings.m_idleLink + kIdleMargin);
+      const auto failed = co_await aLink->Receive(
+        frame, m_stopping ? kClosingTime : m_settings.m_idleLink + kIdleMargin);
       m_idle.erase(aLink);
-      open = !failed;
+      // A frame that arrives while this side stops has crossed the closing one.
+      open = !failed && !m_stopping;
       if (open) {
         open = co_await ServeFrame(*aLink, frame);
       }
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -239,6 +239,9 @@
     case Which::CONFIG:
       aFrame.m_content = DecodeConfig(aIn.getConfig());
       return {};
+    case Which::CLOSING:
+      aFrame.m_content = ClosingFrame{};
+      return {};
     default:
       return ResultCode::MalformedFrame; // from a newer peer
   }
--- a/src/wire/encode.cpp
+++ b/src/wire/encode.cpp
@@ -138,6 +138,7 @@
     out.setCode(static_cast<uint16_t>(aReply.m_code));
     out.setWithdrawn(aReply.m_withdrawn);
   }
+  void operator()(const ClosingFrame&) { m_out.setClosing(); }
   void operator()(const AskConfigFrame&) { m_out.setAskConfig(); }
   void operator()(const ConfigFrame& aFrame)
   {
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -116,5 +116,6 @@
     resolved @12 :Resolved;
     askConfig @13 :Void;
     config @14 :Config;
+    closing @15 :Void;
   }
 }
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -86,6 +86,11 @@
   std::optional<OperatorState> m_state; // absent: nothing is known
 };
 
+// The sender begins no call on this link any more, also none that has crossed
+// this frame.
+struct ClosingFrame
+{};
+
 using FrameContent = std::variant<HelloFrame,
                                   AuthenticateFrame,
                                   RequestHead,
@@ -99,7 +104,8 @@
                                   ResolveRequest, // m_call is the frame's
                                   ResolveReply,
                                   AskConfigFrame,
-                                  ConfigFrame>;
+                                  ConfigFrame,
+                                  ClosingFrame>;
 
 struct PeerFrame
 {
--- /dev/null
+++ b/tests/unit/peer_test.cpp
@@ -0,0 +1,221 @@
+// Guards the end of a link between two nodes, over real sockets.
+#include "peer/link.h"
+
+#include "logging/logging.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace sassafrasquay;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Counts the calls that reach it.
+class CountingGateway
+  : public Service
+  , public CallHandler
+  , public FateSource
+  , public OperatorStateSource
+{
+public:
+  asio::awaitable<void> Start(Kernel& /*aKernel*/) override { co_return; }
+  asio::awaitable<void> Stop() override { co_return; }
+  asio::awaitable<CallResult> Handle(const RequestHead& /*aHead*/,
+                                     BodySource& /*aBody*/,
+                                     AnswerSink& /*aAnswer*/) override
+  {
+    ++m_calls;
+    co_return CallResult();
+  }
+  ResolveReply Resolve(const ResolveRequest& /*aRequest*/) override
+  {
+    return {};
+  }
+  std::optional<OperatorState> CurrentState() const override
+  {
+    return std::nullopt;
+  }
+
+  int m_calls = 0;
+};
+
+class NoBody : public BodySource
+{
+public:
+  asio::awaitable<BodyPart> Read() override { co_return BodyPart(); }
+};
+
+class NoAnswer : public AnswerSink
+{
+public:
+  asio::awaitable<std::error_code> Head(AnswerHead /*aHead*/) override
+  {
+    co_return std::error_code();
+  }
+  asio::awaitable<std::error_code> Body(std::string_view /*aBytes*/,
+                                        bool /*aLast*/) override
+  {
+    co_return std::error_code();
+  }
+};
+
+RequestHead
+MakeCall()
+{
+  RequestHead head;
+  head.m_call = { 1, 7 };
+  head.m_service = "bookings";
+  head.m_method = "POST";
+  head.m_path = "/once/1";
+  head.m_body = "pay";
+  head.m_remaining = 1s;
+  return head;
+}
+
+// Port that nothing listens on at this moment.
+uint16_t
+FreePort(asio::io_context& aContext)
+{
+  const tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+  return tcp::acceptor(aContext, any).local_endpoint().port();
+}
+
+struct PeerFixture
+{
+  asio::io_context m_context{ 1 };
+  Kernel m_kernel{ m_context.get_executor() };
+  std::shared_ptr<SystemClock> m_clock = std::make_shared<SystemClock>();
+  std::shared_ptr<SeededRandom> m_random = std::make_shared<SeededRandom>(1);
+  std::shared_ptr<CountingGateway> m_gateway =
+    std::make_shared<CountingGateway>();
+  PeerSettings m_settings;
+
+  PeerFixture()
+  {
+    m_settings.m_node = { "b" };
+    m_settings.m_incarnation = 2;
+    m_settings.m_key = "unit-test-key-0123456789";
+    m_settings.m_listen = { "127.0.0.1", FreePort(m_context) };
+    m_kernel.Add("clock", m_clock);
+    m_kernel.Add("random", m_random);
+    m_kernel.Add("logger", MakeLogger({}, *m_random, *m_clock));
+    m_kernel.Add("gateway", m_gateway);
+    m_kernel.Add("operator_state", m_gateway);
+  }
+
+  template<class Story>
+  void Run(Story aStory)
+  {
+    std::exception_ptr failed;
+    asio::co_spawn(
+      m_context, aStory(), [&failed](const std::exception_ptr& aError) {
+        failed = aError;
+      });
+    m_context.run();
+    if (failed) {
+      std::rethrow_exception(failed);
+    }
+  }
+
+  // Opens a link to a server, which stops after aIdle, and sends a call before
+  // it reads what the server says.
+  asio::awaitable<void> CrossTheEnd(Duration aIdle)
+  {
+    const auto server = MakePeerServer(m_settings);
+    m_kernel.Add("peer_server", server);
+    co_await m_kernel.StartAll();
+    tcp::socket socket(m_context);
+    const auto address = asio::ip::make_address(m_settings.m_listen.m_address);
+    co_await socket.async_connect(
+      tcp::endpoint(address, m_settings.m_listen.m_port), asio::use_awaitable);
+    Link link(std::move(socket), *m_clock);
+    PeerSettings own = m_settings;
+    own.m_node = { "a" };
+    const auto refused = co_await ConnectHandshake(link, own, *m_random);
+    BOOST_TEST(!refused);
+    asio::steady_timer timer(m_context, aIdle);
+    co_await timer.async_wait(asio::use_awaitable);
+
+    asio::co_spawn(m_context, m_kernel.StopAll(), asio::detached);
+    RequestHead head = MakeCall();
+    const auto sent = co_await link.Send(CallId{ 1, 7 }, std::move(head));
+    BOOST_TEST(!sent);
+    PeerFrame frame;
+    const auto error = co_await link.Receive(frame, 2s);
+    BOOST_TEST(!error);
+    BOOST_TEST(std::holds_alternative<ClosingFrame>(frame.m_content));
+    link.Close();
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(a_link_between_nodes, PeerFixture)
+
+BOOST_AUTO_TEST_SUITE(whose_accepting_side_stops)
+
+// Guards against a call that crosses the end of an idle link and is begun, or
+// is left without a word.
+BOOST_AUTO_TEST_CASE(begins_no_call_that_crosses_the_end_of_an_idle_link)
+{
+  Run([this]() { return CrossTheEnd(50ms); });
+  BOOST_TEST(m_gateway->m_calls == 0);
+}
+
+// Guards against the same on a link that was busy when the stop began.
+BOOST_AUTO_TEST_CASE(begins_no_call_that_crosses_the_end_of_a_new_link)
+{
+  Run([this]() { return CrossTheEnd(0ms); });
+  BOOST_TEST(m_gateway->m_calls == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(whose_connecting_side_has_just_sent_a_call)
+
+// Guards against "may have run" for a call that provably did not: it could not
+// be sent to another node.
+BOOST_AUTO_TEST_CASE(takes_the_closing_frame_as_proof_that_it_did_not_run)
+{
+  CallResult result;
+  Run([&]() -> asio::awaitable<void> {
+    const auto client = MakePeerClient(m_settings);
+    m_kernel.Add("peer_client", client);
+    co_await m_kernel.StartAll();
+    const tcp::endpoint listen(
+      asio::ip::make_address(m_settings.m_listen.m_address),
+      m_settings.m_listen.m_port);
+    tcp::acceptor acceptor(m_context, listen);
+    asio::co_spawn(
+      m_context,
+      [&]() -> asio::awaitable<void> {
+        tcp::socket socket =
+          co_await acceptor.async_accept(asio::use_awaitable);
+        Link link(std::move(socket), *m_clock);
+        const auto refused =
+          co_await AcceptHandshake(link, m_settings, *m_random);
+        BOOST_TEST(!refused);
+        co_await link.Send(CallId(), ClosingFrame{});
+        PeerFrame frame;
+        co_await link.Receive(frame, 2s);
+        link.Close();
+      },
+      asio::detached);
+    NoBody body;
+    NoAnswer answer;
+    const RequestHead head = MakeCall();
+    const auto peers = m_kernel.Find<PeerClient>("peer_client");
+    result = co_await peers->Call(m_settings.m_listen, head, body, answer);
+    co_await m_kernel.StopAll();
+  });
+  BOOST_CHECK(result.m_code == ResultCode::NodeStopping);
+  BOOST_CHECK(result.m_run == Run::No);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -140,6 +140,7 @@
   CheckSameBytes(WorkingFrame{});
   CheckSameBytes(CancelFrame{});
   CheckSameBytes(AskConfigFrame{});
+  CheckSameBytes(ClosingFrame{});
 }
 
 BOOST_AUTO_TEST_SUITE_END()
