Doubt the first report of a target that says it is not healthy

Cause: a node acknowledges that its target leaves and is killed. The process that starts in its place knows nothing of that; a report from before the leave, which arrives late, announced the target again.

Change: what speaks against a target that is not announced stands in LeaveMemory, which is pure: ids that were said to leave, and targets whose health says that they are not well. The first report of such a target does not count; a target that lives and whose health is wrong reports again, so that it is out for one more report interval after a restart of its node.

Ruled out: keeping the leaves in the store or in gossip, which would cost a write or a rumour for each leave to cover a restart within seconds.

--- a/src/targets/target_reports.cpp
+++ b/src/targets/target_reports.cpp
@@ -58,4 +58,14 @@
   return true;
 }
 
+bool
+LeaveMemory::ReportMayAnnounce(std::string_view aId)
+{
+  if (aId.empty() || aId != m_unhealthy || aId == m_doubted) {
+    return true;
+  }
+  m_doubted = aId;
+  return false;
+}
+
 } // namespace sassafrasquay
--- a/src/targets/target_reports.h
+++ b/src/targets/target_reports.h
@@ -6,6 +6,7 @@
 // Index of this file
 //   [1] Reports
 //   [2] TargetReports: the target that counts
+//   [3] LeaveMemory: what speaks against a target that is not announced
 #pragma once
 
 #include "core/core.h"
@@ -73,4 +74,32 @@
   WallTime m_unknownLeftAt{};         // it was born before
 };
 
+//-----------------------------------------------------------------------------
+// [3] LeaveMemory
+//-----------------------------------------------------------------------------
+
+// Decides whether a target that is not announced may become it. A node that has
+// started again does not know what its process before has acknowledged.
+class LeaveMemory
+{
+public:
+  // The target was told to get no new work.
+  void OnLeave(std::string_view aId) { m_left = aId; }
+  // A health answer of a target that is not announced.
+  void OnHealth(std::string_view aId, bool aHealthy)
+  {
+    m_unhealthy = aHealthy ? "" : aId;
+  }
+
+  bool HealthMayAnnounce(std::string_view aId) const { return aId != m_left; }
+  // False for the first report of a target that says it is not healthy: it may
+  // be late, from before a leave. A target that lives reports again.
+  bool ReportMayAnnounce(std::string_view aId);
+
+private:
+  std::string m_left;
+  std::string m_unhealthy;
+  std::string m_doubted; // its first report did not count
+};
+
 } // namespace sassafrasquay
--- a/src/upstream/gateway.cpp
+++ b/src/upstream/gateway.cpp
@@ -2,6 +2,7 @@
 #include "logging/logging.h"
 #include "metrics/metrics.h"
 #include "quarantine/quarantine.h"
+#include "targets/target_reports.h"
 #include "upstream/target_probes.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -96,7 +97,7 @@
   std::unique_ptr<TargetClient> m_client;
   std::unique_ptr<TargetProbes> m_probes;
   std::optional<TargetAnnouncement> m_target;
-  std::string m_drainedId; // the last one that was told to get no new work
+  LeaveMemory m_leaves;
   std::unordered_map<CallId, Waiter*> m_waiting;
   std::unordered_map<CallId, RequestIdentity> m_running; // at the target now
   TimePoint m_armed = TimePoint::max(); // when the tick coroutine wakes
@@ -528,6 +529,11 @@
   if (m_target == aTarget) {
     return {};
   }
+  if (!m_target && !m_leaves.ReportMayAnnounce(aTarget.m_id)) {
+    m_logger->Write(
+      LogLevel::Info, "target_doubted", { { "target", aTarget.m_id } });
+    return {};
+  }
   const bool completes = m_target && m_target->m_id == aTarget.m_id &&
                          m_target->m_incarnation == kUnknownIncarnation;
   m_target = aTarget;
@@ -550,7 +556,7 @@
 Gateway::Drain(std::string_view aTargetId)
 {
   if (!aTargetId.empty()) {
-    m_drainedId = aTargetId;
+    m_leaves.OnLeave(aTargetId);
   }
   if (!m_target || (!aTargetId.empty() && m_target->m_id != aTargetId)) {
     return;
@@ -619,7 +625,11 @@
   const TimePoint end = m_clock->Now() + m_settings.m_discoveryTime;
   while (!m_stopping && !m_target && m_clock->Now() < end) {
     const std::optional<FoundTarget> found = co_await m_probes->AskExpected();
-    if (found && !m_target && found->m_target.m_id != m_drainedId) {
+    if (found && !m_target) {
+      m_leaves.OnHealth(found->m_target.m_id, found->m_healthy);
+    }
+    if (found && found->m_healthy && !m_target &&
+        m_leaves.HealthMayAnnounce(found->m_target.m_id)) {
       Announce(found->m_target);
       StateCold(found->m_coldLeft);
       TakeLoad(found->m_load);
--- a/src/upstream/target_probes.cpp
+++ b/src/upstream/target_probes.cpp
@@ -93,13 +93,15 @@
   }
   const std::optional<HealthFacts> health =
     co_await m_client.Probe(m_settings.m_expectedAddress, m_path);
-  const bool usable =
-    health && health->m_healthy && health->m_load && !health->m_id.empty();
-  if (!usable) {
+  if (!health || health->m_id.empty()) {
     co_return std::nullopt;
   }
   FoundTarget found;
+  found.m_healthy = health->m_healthy && health->m_load;
   found.m_target.m_id = health->m_id;
+  if (!found.m_healthy) {
+    co_return found;
+  }
   found.m_target.m_service = m_settings.m_expectedService;
   found.m_target.m_slots = health->m_load->m_slots;
   found.m_target.m_address = m_settings.m_expectedAddress;
--- a/src/upstream/target_probes.h
+++ b/src/upstream/target_probes.h
@@ -6,9 +6,10 @@
 
 namespace sassafrasquay {
 
-// A healthy target that has not announced itself.
+// The expected target, which has not announced itself.
 struct FoundTarget
 {
+  bool m_healthy = false; // and states its load; else only its id is known
   TargetAnnouncement m_target;
   Duration m_coldLeft{}; // zero: warm
   TargetLoad m_load;
@@ -35,7 +36,7 @@
   asio::awaitable<std::optional<TargetLoad>> AskLoad(
     const TargetAnnouncement& aTarget,
     TimePoint aSaid);
-  // The expected target, when it is healthy; nullopt otherwise.
+  // The expected target; nullopt when it does not answer, or without its id.
   asio::awaitable<std::optional<FoundTarget>> AskExpected();
 
 private:
--- a/tests/drills/platform_drill.cpp
+++ b/tests/drills/platform_drill.cpp
@@ -383,6 +383,38 @@
   BOOST_TEST(restarted.RunsAfterwards() == 0U);
 }
 
+// Guards against a late report that brings back an instance whose leaving the
+// process of the node before has acknowledged.
+BOOST_AUTO_TEST_CASE(and_hears_late_word_of_it_gets_nothing_new)
+{
+  Fleet fleet;
+  fleet.Add("lessons", 2);
+  fleet.StartOnPlatform();
+  Instance& second = fleet.At(1);
+  BOOST_TEST(fleet.Get(second.m_target, "/standin/leave") == "ok");
+  second.m_nodeProcess->Signal(SIGKILL);
+  second.m_nodeProcess->Wait();
+  fleet.StartNode(second);
+  fleet.WaitUntilServing(second, "lessons"); // through the first node
+  Sleep(300);                                // it has asked for the health
+  HttpRequest late;
+  late.m_method = "PUT";
+  late.m_path = "/-/instances/i-" + second.m_node;
+  late.m_host = "node";
+  late.m_body =
+    R"({"address":")" + ToString(second.m_target) +
+    R"(","born":1000,"info":{"service":"lessons","version":"v1","zone":"z",)" +
+    R"("slots":6},"status":{"state":"ready","sequence":1,"coldLeftMs":0}})";
+  BOOST_TEST(Send(second.m_control, late).m_status == 200U);
+  const uint64_t before = RequestsAt(fleet, second);
+  for (size_t i = 0; i < 50; ++i) {
+    const std::string id = "late-" + std::to_string(i);
+    Send(fleet.At(i % 2).m_callers, Ask("/safe/1", id));
+    Sleep(10);
+  }
+  BOOST_TEST(RequestsAt(fleet, second) == before);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/targets_test.cpp
+++ b/tests/unit/targets_test.cpp
@@ -118,4 +118,34 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_node_has_started_again)
+
+// Guards against a leave that the node has acknowledged and a health answer
+// undoes.
+BOOST_AUTO_TEST_CASE(and_health_does_not_announce_a_target_that_left)
+{
+  LeaveMemory memory;
+  memory.OnLeave("i");
+  BOOST_TEST(!memory.HealthMayAnnounce("i"));
+  BOOST_TEST(memory.HealthMayAnnounce("j"));
+}
+
+// Guards against late word from before a leave that the process before has
+// acknowledged, and against a target with a wrong health that stays out.
+BOOST_AUTO_TEST_CASE(and_an_unhealthy_target_has_to_report_twice)
+{
+  LeaveMemory memory;
+  BOOST_TEST(memory.ReportMayAnnounce("i"));
+  memory.OnHealth("i", false);
+  BOOST_TEST(!memory.ReportMayAnnounce("i"));
+  memory.OnHealth("i", false);
+  BOOST_TEST(memory.ReportMayAnnounce("i"));
+  BOOST_TEST(memory.ReportMayAnnounce("j"));
+  memory.OnHealth("k", false);
+  memory.OnHealth("k", true);
+  BOOST_TEST(memory.ReportMayAnnounce("k"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
