--- a/tests/drills/platform_drill.cpp
+++ b/tests/drills/platform_drill.cpp
@@ -324,13 +324,14 @@
 {
   Fleet m_fleet;
 
-  explicit RestartedNode(uint64_t aHealthMs)
+  explicit RestartedNode(Duration aHealthDelay)
   {
     m_fleet.Add("lessons", 2);
     m_fleet.StartOnPlatform();
     Instance& second = m_fleet.At(1);
     m_fleet.SetFault(second, "mute_reports", 1);
-    m_fleet.SetFault(second, "health_ms", aHealthMs);
+    m_fleet.SetFault(
+      second, "health_ms", aHealthDelay / std::chrono::milliseconds(1));
     second.m_nodeProcess->Signal(SIGKILL);
     second.m_nodeProcess->Wait();
     m_fleet.StartNode(second);
@@ -367,7 +368,7 @@
 // the instance by its health only.
 BOOST_AUTO_TEST_CASE(and_knows_it_by_its_health_gets_nothing_new)
 {
-  RestartedNode restarted(0);
+  RestartedNode restarted(Duration::zero());
   const Instance& second = restarted.m_fleet.At(1);
   restarted.m_fleet.WaitUntilListed(second, second);
   BOOST_TEST(restarted.Leave());
@@ -378,7 +379,7 @@
 // leaves before the node knew it.
 BOOST_AUTO_TEST_CASE(and_does_not_know_it_yet_gets_nothing_new)
 {
-  RestartedNode restarted(400);
+  RestartedNode restarted(std::chrono::milliseconds(400));
   BOOST_TEST(restarted.Leave());
   BOOST_TEST(restarted.RunsAfterwards() == 0U);
 }
--- a/tests/soak/world.cpp
+++ b/tests/soak/world.cpp
@@ -21,6 +21,10 @@
 constexpr size_t kCallersPerNode = 3;
 constexpr uint64_t kServiceMs = 20;
 constexpr Duration kFaultTime = milliseconds(9000);
+// Within the time of the faults: the last begin of one, and how long it lasts.
+constexpr Duration kLastBegin = milliseconds(7000);
+constexpr Duration kShortestFault = milliseconds(200);
+constexpr Duration kLongestFault = milliseconds(2500);
 constexpr Duration kTick = milliseconds(20);
 
 // Bounds of the platform's pages.
@@ -172,7 +176,7 @@
   const size_t planned = m_plannedOnly ? 8 + Draw(6) : 1 + Draw(3);
   const size_t faults = m_plannedOnly ? 0 : 5 + Draw(8);
   for (size_t i = 0; i < planned; ++i) {
-    DrawPlannedWork(begin + DrawTime(0, 7000));
+    DrawPlannedWork(begin + DrawTime(Duration::zero(), kLastBegin));
   }
   if (m_plannedOnly) {
     const std::string zone = "zone-" + std::to_string(1 + Draw(3));
@@ -180,7 +184,7 @@
   }
   m_faults = faults;
   for (size_t i = 0; i < faults; ++i) {
-    DrawFault(begin + DrawTime(0, 7000));
+    DrawFault(begin + DrawTime(Duration::zero(), kLastBegin));
   }
   RunSteps();
   LiftFaults();
@@ -193,9 +197,9 @@
 //-----------------------------------------------------------------------------
 
 Duration
-World::DrawTime(int aFromMs, int aToMs)
+World::DrawTime(Duration aFrom, Duration aTo)
 {
-  return milliseconds(aFromMs + Draw(aToMs - aFromMs));
+  return aFrom + milliseconds(Draw((aTo - aFrom) / milliseconds(1)));
 }
 
 void
@@ -236,7 +240,7 @@
 World::DrawFault(TimePoint aAt)
 {
   const size_t node = DrawNode();
-  const Duration length = DrawTime(200, 2500);
+  const Duration length = DrawTime(kShortestFault, kLongestFault);
   switch (Draw(10)) {
     case 0:
       At(aAt, [this, node, length]() { KillNode(node, length / 2); });
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -91,7 +91,7 @@
 
   // Draws.
   uint64_t Draw(uint64_t aBelow) { return m_random.Next() % aBelow; }
-  Duration DrawTime(int aFromMs, int aToMs);
+  Duration DrawTime(Duration aFrom, Duration aTo);
   size_t DrawNode() { return Draw(m_fleet.All().size()); }
   void DrawPlannedWork(TimePoint aAt);
   void DrawFault(TimePoint aAt);
