--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -29,8 +29,8 @@
 } // namespace
 
 FaultProxy::FaultProxy(asio::any_io_executor aExecutor,
-                       Endpoint aListen,
-                       Endpoint aServer,
+                       const Endpoint& aListen,
+                       const Endpoint& aServer,
                        bool aDatagrams)
   : m_executor(std::move(aExecutor))
   , m_server(ToAsio<tcp>(aServer))
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -28,8 +28,8 @@
 {
 public:
   FaultProxy(asio::any_io_executor aExecutor,
-             Endpoint aListen,
-             Endpoint aServer,
+             const Endpoint& aListen,
+             const Endpoint& aServer,
              bool aDatagrams);
 
   void Set(LinkFault aFault);
--- a/tests/soak/world.cpp
+++ b/tests/soak/world.cpp
@@ -107,10 +107,10 @@
     instance.m_peerAdvertised = m_fleet.ReserveEndpoint();
     instance.m_targetAdvertised = m_fleet.ReserveEndpoint();
     instance.m_storeAdvertised = m_fleet.ReserveEndpoint();
-    const auto proxy = [&](Endpoint aListen, Endpoint aServer, bool aUdp) {
-      return std::make_unique<FaultProxy>(
-        executor, std::move(aListen), std::move(aServer), aUdp);
-    };
+    const auto proxy =
+      [&](const Endpoint& aListen, const Endpoint& aServer, bool aUdp) {
+        return std::make_unique<FaultProxy>(executor, aListen, aServer, aUdp);
+      };
     Links links;
     // Nodes reach the caller port directly; callers use the proxy's.
     const Endpoint callers = m_fleet.ReserveEndpoint();
@@ -586,7 +586,8 @@
       CheckRun(id, run);
     }
   }
-  const double share = static_cast<double>(served) / std::max(1UL, requests);
+  const double share =
+    static_cast<double>(served) / static_cast<double>(std::max(1UL, requests));
   if (share < kLeastServed) {
     Broken("served " + std::to_string(share) + " of " +
            std::to_string(requests) + " requests");
