--- a/src/node/config_watcher.cpp
+++ b/src/node/config_watcher.cpp
@@ -3,6 +3,7 @@
 
 #include "gossip/gossip.h"
 #include "logging/logging.h"
+#include "metrics/metrics.h"
 #include "node/node_policy.h"
 #include "store/store.h"
 
@@ -10,6 +11,7 @@
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <utility>
 
 namespace sassafrasquay {
 
@@ -52,12 +54,14 @@
   std::shared_ptr<PeerClient> m_peers;
   std::shared_ptr<ConfigFeed> m_feed;
   std::shared_ptr<NodePolicy> m_policy;
+  MetricCounter* m_unusableRecords = nullptr;
   std::unique_ptr<Event> m_ended;
   asio::cancellation_signal m_cancel;
   Duration m_backoff;
-  PublishedConfig m_base;       // starting point of the next watch
-  bool m_needsFullRead = true;  // a watch from m_base is impossible
-  bool m_storeReachable = true; // at the last request
+  PublishedConfig m_base;        // starting point of the next watch
+  bool m_needsFullRead = true;   // a watch from m_base is impossible
+  bool m_historyWasGone = false; // since the last successful watch
+  bool m_storeReachable = true;  // at the last request
   bool m_queryingPeer = false;
   bool m_stopping = false;
   size_t m_running = 0; // coroutines
@@ -72,6 +76,10 @@
   m_peers = aKernel.Find<PeerClient>("peer_client");
   m_feed = aKernel.Find<ConfigFeed>("operator_feed");
   m_policy = aKernel.Find<NodePolicy>("call_policy");
+  m_unusableRecords = &aKernel.Find<Metrics>("metrics")->Counter(
+    "sassafrasquay_store_unusable_records_total",
+    "Records of the operators' topic that could not be decoded.",
+    {});
   m_ended = std::make_unique<Event>(m_executor);
   m_gossip->AddListener(*this);
   ++m_running;
@@ -100,15 +108,23 @@
 ConfigWatcher::WatchStore()
 {
   while (!m_stopping) {
+    const bool isWatch = !m_needsFullRead;
     const std::error_code error = co_await FetchFromStore();
     LogStoreReachability(error);
     if (!error) {
-      m_backoff = m_settings.m_initialBackoff;
+      if (isWatch) {
+        m_backoff = m_settings.m_initialBackoff;
+        m_historyWasGone = false;
+      }
       continue;
     }
     if (error == ResultCode::LogHistoryGone) {
       m_needsFullRead = true;
-      continue;
+      // Without a successful watch in between, the store's log ends before the
+      // configuration in force, and every watch fails at once.
+      if (!std::exchange(m_historyWasGone, true)) {
+        continue;
+      }
     }
     co_await m_ended->WaitFor(m_backoff);
     m_backoff = std::min(2 * m_backoff, m_settings.m_maxBackoff);
@@ -134,6 +150,13 @@
   if (result.m_error) {
     co_return result.m_error;
   }
+  if (result.m_unusable > 0) {
+    m_unusableRecords->Add(static_cast<double>(result.m_unusable));
+    m_logger->Write(LogLevel::Warning,
+                    "config_records_skipped",
+                    { { "count", result.m_unusable },
+                      { "position", result.m_state.m_position } });
+  }
   m_needsFullRead = false;
   m_base = result.m_state;
   m_policy->Offer(std::move(result.m_state), "store");
--- a/src/node/node_policy.cpp
+++ b/src/node/node_policy.cpp
@@ -235,7 +235,9 @@
   aHead.m_maxAttempts = route->m_maxAttempts;
   aHead.m_priority = static_cast<uint8_t>(
     kHighestPriority -
-    std::min(kHighestPriority, kPriorityStep * route->m_priorityRank));
+    std::min(kHighestPriority,
+             kPriorityStep *
+               std::min(kHighestPriority, route->m_priorityRank)));
   aHead.m_routeClass = static_cast<uint32_t>(StableHash(route->m_name));
   aHead.m_latencyObjective = route->m_latencyObjective;
   aHead.m_remaining = std::min(aTimeout.value_or(settings.m_defaultTimeout),
--- a/src/node/seed_discovery.cpp
+++ b/src/node/seed_discovery.cpp
@@ -130,6 +130,7 @@
   m_logger->Write(listed.m_error ? LogLevel::Warning : LogLevel::Info,
                   listed.m_error ? "directory_read_failed" : "directory_read",
                   { { "nodes", static_cast<uint64_t>(listed.m_nodes.size()) },
+                    { "unusable", listed.m_unusable },
                     { "error", listed.m_error.message() } });
   if (!listed.m_error) {
     m_isListed = std::find(listed.m_nodes.begin(),
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -22,6 +22,7 @@
   // position; call Read.
   std::error_code m_error;
   PublishedConfig m_state; // valid when m_error is not set
+  uint64_t m_unusable = 0; // records that were left out
 };
 
 class ConfigFeed : public virtual Component
@@ -45,6 +46,7 @@
 {
   std::error_code m_error; // LogUnavailable, or none
   std::vector<Endpoint> m_nodes;
+  uint64_t m_unusable = 0; // entries that name no node
 };
 
 // Peer addresses of all nodes that have ever been started. An entry does not
