--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -88,6 +88,15 @@
   Duration m_minimumRemaining{ std::chrono::milliseconds(1) };
 };
 
+// Limit of the requests that a cold target gets in any second:
+// m_perSecond * m_burstFactor + m_burstAllowance.
+struct ColdStartRate
+{
+  double m_perSecond = 0; // 0: unknown; AdmissionSettings::m_coldLimit applies
+  double m_burstFactor = 1;
+  double m_burstAllowance = 0; // requests
+};
+
 //-----------------------------------------------------------------------------
 // [4] AdmissionController
 //-----------------------------------------------------------------------------
@@ -130,8 +139,7 @@
       EnterColdStart(aNow);
     }
   }
-  // Requests per second that a cold target can serve; 0: unknown.
-  virtual void SetColdStartRate(double /*aPerSecond*/) {}
+  virtual void SetColdStartRate(const ColdStartRate& /*aRate*/) {}
   // Current service time as the target reports it, in % of the normal one.
   virtual void SetSlowness(uint32_t /*aPercent*/, TimePoint /*aNow*/) {}
   // True while calls are queued although a slot is free, because the target is
--- a/src/admission/reported_load_admission.cpp
+++ b/src/admission/reported_load_admission.cpp
@@ -66,9 +66,9 @@
   }
   void EnterColdStart(TimePoint aNow) override;
   void SetColdStartRemaining(Duration aRemaining, TimePoint aNow) override;
-  void SetColdStartRate(double aPerSecond) override
+  void SetColdStartRate(const ColdStartRate& aRate) override
   {
-    m_coldStartRate = aPerSecond;
+    m_coldStartRate = aRate;
   }
   void SetSlowness(uint32_t aPercent, TimePoint aNow) override;
   bool IsBlockedBySlowness() const override
@@ -143,8 +143,8 @@
   uint32_t m_slowness = kNormalPercent;
   // Within kSlownessWindow.
   std::deque<std::pair<TimePoint, uint32_t>> m_slownessReports;
-  TimePoint m_slowUntil{};    // expiry of the last report that it is slow
-  double m_coldStartRate = 0; // requests per second; 0: unknown
+  TimePoint m_slowUntil{}; // expiry of the last report that it is slow
+  ColdStartRate m_coldStartRate;
   TimePoint m_coldUntil{};
   bool m_zoneOut = false;
   TimePoint m_now{}; // latest time seen
@@ -396,10 +396,12 @@
   if (!IsCold()) {
     return true;
   }
-  if (m_coldStartRate <= 0) {
+  const ColdStartRate& rate = m_coldStartRate;
+  if (rate.m_perSecond <= 0) {
     return m_inFlight < m_settings.m_coldLimit;
   }
-  return static_cast<double>(m_starts.size()) + 1 <= m_coldStartRate;
+  return static_cast<double>(m_starts.size()) + 1 <=
+         rate.m_perSecond * rate.m_burstFactor + rate.m_burstAllowance;
 }
 
 bool
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -41,6 +41,8 @@
 constexpr int kExitStartFailed = 1;
 constexpr int kExitForced = 3;
 // Longest time that a log line stays in the buffer.
+// Used share of a deployment's allowance for cold targets.
+constexpr double kUsedAllowance = 0.5;
 constexpr Duration kLogFlushInterval = std::chrono::milliseconds(500);
 // The settings file is polled, since it may change without a signal.
 constexpr Duration kNodeFilePollInterval = std::chrono::seconds(2);
@@ -288,6 +290,9 @@
   upstream.m_loadMaxAge = m_settings.m_loadMaxAge;
   if (HasPlatform()) {
     upstream.m_connectTimeout = std::chrono::milliseconds(250);
+    const DeploymentLimits& limits = m_settings.m_platform.m_deploymentLimits;
+    upstream.m_coldBurstFactor = std::max(1.0, limits.m_coldBurstFactor);
+    upstream.m_coldBurstAllowance = kUsedAllowance * limits.m_coldBurstAllowance;
     if (m_settings.m_platform.m_target) {
       upstream.m_expectedService = m_settings.m_platform.m_service;
       upstream.m_expectedAddress = *m_settings.m_platform.m_target;
--- a/src/upstream/gateway.cpp
+++ b/src/upstream/gateway.cpp
@@ -602,7 +602,9 @@
 Gateway::SetServiceConfig(const ServiceConfig& aConfig)
 {
   m_probes->SetPath(aConfig.m_healthPath);
-  m_admission->SetColdStartRate(aConfig.m_coldRequestsPerSecond);
+  m_admission->SetColdStartRate({ aConfig.m_coldRequestsPerSecond,
+                                  m_settings.m_coldBurstFactor,
+                                  m_settings.m_coldBurstAllowance });
 }
 
 void
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -98,6 +98,9 @@
   Duration m_probeTimeout{ std::chrono::milliseconds(500) };
   // Of the connection kept for probes.
   Duration m_probeIdleTimeout{ std::chrono::milliseconds(700) };
+  // Limit of a cold target, see ColdStartRate.
+  double m_coldBurstFactor = 1;
+  double m_coldBurstAllowance = 0;
   size_t m_maxIdleConnections = 64;
   uint32_t m_maxHeadBytes = 64 * 1024; // of a response
 };
