Enforce the retry budget beside the targets

Cause: each entry node held an equal part of the deployment's limit of repeated requests, about one repeat at 195 nodes, and most of it lay at nodes that did not need it. Change: RepeatBudget at the node beside a target counts first arrivals and repeats in sliding windows and refuses with RetryLimit, which another target's node may follow. Repeats of requests that may have been executed get a smaller share, as their calls are repeats elsewhere. FleetView counts members itself instead of copying the member table on each change.

--- a/src/call/call.h
+++ b/src/call/call.h
@@ -48,6 +48,7 @@
   uint32_t m_routeClass = 0;  // requests of one class cost about the same
   uint32_t m_maxAttempts = 0; // targets that may execute it; 0: no limit
   bool m_mayQueue = true;     // false: refuse unless it can start at once
+  bool m_repeat = false;      // an earlier attempt may have reached a target
   uint8_t m_priority = 100;
   bool m_idempotent = false;
   bool m_retrySpent = false;            // a previous layer already retries
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -169,6 +169,7 @@
   ShedByPriority = 208,
   NotReady = 209,
   TargetSlow = 210,
+  RetryLimit = 211,
   // 3xx: dispatched, then failed
   DeadlineExceeded = 301,
   TargetFailed = 302,
--- a/src/core/results.cpp
+++ b/src/core/results.cpp
@@ -30,6 +30,7 @@
   ResultRow{ RC::ShedByPriority, "ShedByPriority", 503, "no", "Shed in favour of requests with a higher priority.", "yes, with backoff", "add capacity if it lasts" },
   ResultRow{ RC::NotReady, "NotReady", 503, "no", "The node has no configuration or no target yet.", "yes, at another node", "check the store and the seed nodes" },
   ResultRow{ RC::TargetSlow, "TargetSlow", 503, "no", "The target works far slower than usual at this moment.", "yes", "look for a noisy neighbour if it lasts" },
+  ResultRow{ RC::RetryLimit, "RetryLimit", 503, "no", "The targets that were asked take no further repeated requests.", "yes, with backoff", "look for failing or shedding targets" },
   ResultRow{ RC::DeadlineExceeded, "DeadlineExceeded", 504, "maybe", "The deadline passed while the target was working.", "idempotent requests", "check the target's latency" },
   ResultRow{ RC::TargetFailed, "TargetFailed", 502, "maybe", "The target closed the connection before its answer began.", "idempotent requests", "check the target" },
   ResultRow{ RC::PeerLost, "PeerLost", 502, "maybe", "The node beside the target was lost and the fate of the request is unknown.", "idempotent requests", "check the VM" },
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -26,6 +26,7 @@
   uint32_t m_attempts = 0;
   uint32_t m_dispatchedAttempts = 0; // attempts that may have run
   uint32_t m_refusedAttempts = 0;    // attempts that have provably not run
+  bool m_reachedTarget = false;      // an attempt may have reached a target
   RetryMarker m_marker = RetryMarker::None; // set by the previous layer
   CallResult m_lastResult;
 };
@@ -234,6 +235,7 @@
     co_return false;
   }
   aHead.m_call = CallId{ m_origin, ++m_sequence };
+  aHead.m_repeat = aProgress.m_reachedTarget;
   aProgress.m_route.m_remaining = aHead.m_remaining;
   RouteDecision decision = m_router->Choose(aProgress.m_route, now);
   aHead.m_mayQueue = aProgress.m_refusedAttempts + 1 >= kFirstQueuedAttempt ||
@@ -278,6 +280,9 @@
 {
   CallResult& last = aProgress.m_lastResult;
   m_retry->OnResult(aHead.m_service, last.m_code);
+  aProgress.m_reachedTarget =
+    aProgress.m_reachedTarget ||
+    MayHaveReachedTarget(last.m_code, last.m_executed);
   if (last.m_executed == Executed::No) {
     ++aProgress.m_refusedAttempts;
   } else {
--- a/src/node/fleet_view.cpp
+++ b/src/node/fleet_view.cpp
@@ -4,7 +4,7 @@
 #include "gossip/gossip.h"
 #include "logging/logging.h"
 #include "metrics/metrics.h"
-#include "retry/retry.h"
+#include "retry/repeat_budget.h"
 #include "routing/routing.h"
 #include "upstream/upstream.h"
 
@@ -45,6 +45,8 @@
   TargetInfo LocalTarget() const;
   void ApplyChange(const MemberChange& aChange,
                    std::set<std::string>& aServices);
+  void CountMember(const MemberChange& aChange);
+  void UpdateRepeatBudget();
   void UpdateRouter(const std::set<std::string>& aServices);
   void UpdateTargetGauges(const std::string& aService,
                           const std::vector<TargetInfo>& aTargets);
@@ -58,9 +60,11 @@
   std::shared_ptr<Metrics> m_metrics;
   std::shared_ptr<Gossip> m_gossip;
   std::shared_ptr<Router> m_router;
-  std::shared_ptr<RetryPolicy> m_retry;
+  std::shared_ptr<RepeatBudget> m_repeatBudget;
   std::shared_ptr<TargetControl> m_target;
-  std::map<NodeId, TargetInfo> m_targets; // usable targets by node
+  std::map<NodeId, TargetInfo> m_targets;          // usable targets by node
+  std::map<NodeId, std::string> m_serviceOfMember; // of each listed member
+  std::map<std::string, size_t> m_memberCounts;    // by service
   std::unique_ptr<Event> m_ended;
   bool m_stopping = false;
   bool m_running = false;
@@ -74,7 +78,7 @@
   m_metrics = aKernel.Find<Metrics>("metrics");
   m_gossip = aKernel.Find<Gossip>("gossip");
   m_router = aKernel.Find<Router>("router");
-  m_retry = aKernel.Find<RetryPolicy>("retry");
+  m_repeatBudget = aKernel.Find<RepeatBudget>("repeat_budget");
   m_target = aKernel.Find<TargetControl>("gateway");
   m_ended = std::make_unique<Event>(aKernel.Executor());
   m_gossip->AddListener(*this);
@@ -126,6 +130,7 @@
     if (current != published) {
       m_gossip->SetTarget(current);
       published = current;
+      UpdateRepeatBudget();
     }
     co_await m_target->Changed().WaitFor(kPublishInterval);
   }
@@ -141,7 +146,38 @@
     ApplyChange(change, services);
   }
   UpdateRouter(services);
-  m_retry->SetFleetSize(m_gossip->Members().size());
+  UpdateRepeatBudget();
+}
+
+// Members that do not respond count as well: this node may be the one that is
+// cut off, and they may still use their part.
+void
+FleetView::UpdateRepeatBudget()
+{
+  const auto target = m_target->Target();
+  const auto count =
+    target ? m_memberCounts.find(target->m_service) : m_memberCounts.end();
+  if (count != m_memberCounts.end()) {
+    m_repeatBudget->SetTargetCount(count->second, m_clock->Now());
+  }
+}
+
+void
+FleetView::CountMember(const MemberChange& aChange)
+{
+  const MemberInfo& info = aChange.m_member.m_record.m_info;
+  const auto known = m_serviceOfMember.find(info.m_id);
+  if (known != m_serviceOfMember.end()) {
+    const auto count = m_memberCounts.find(known->second);
+    if (--count->second == 0) {
+      m_memberCounts.erase(count);
+    }
+    m_serviceOfMember.erase(known);
+  }
+  if (!aChange.m_removed && !info.m_service.empty()) {
+    m_serviceOfMember.emplace(info.m_id, info.m_service);
+    ++m_memberCounts[info.m_service];
+  }
 }
 
 void
@@ -149,6 +185,7 @@
                        std::set<std::string>& aServices)
 {
   LogChange(aChange);
+  CountMember(aChange);
   TargetInfo info = ToTargetInfo(aChange.m_member.m_record);
   const MemberState state = aChange.m_member.m_state;
   info.m_leaving = info.m_leaving || state == MemberState::Leaving;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -17,6 +17,7 @@
 #include "node/seed_discovery.h"
 #include "peer/peer.h"
 #include "quarantine/quarantine.h"
+#include "retry/repeat_budget.h"
 #include "retry/retry.h"
 #include "routing/routing.h"
 #include "upstream/upstream.h"
@@ -113,6 +114,7 @@
   bool HasPlatform() const { return m_settings.m_platform.m_store.has_value(); }
   PolicySettings MakePolicySettings() const;
   RetrySettings MakeRetrySettings() const;
+  RepeatBudgetSettings MakeRepeatBudgetSettings() const;
   static void BlockSignals();
   asio::awaitable<void> WaitForSignal(asio::signal_set& aSignals);
   asio::awaitable<void> ForceStopOnInterrupt(asio::signal_set& aSignals);
@@ -162,7 +164,6 @@
   RegisterFrontendServices(aKernel);
 }
 
-// A deployment limits the repeated requests of a service over all nodes.
 RetrySettings
 Node::MakeRetrySettings() const
 {
@@ -170,18 +171,18 @@
   retry.m_tokenRatio =
     m_settings.m_fleetConfig.m_defaults.m_retryBudgetPercent / 100.0;
   const DeploymentLimits& limits = m_settings.m_platform.m_deploymentLimits;
-  if (limits.m_maxRetryRatio > 0) {
-    // Half of the deployment's limit, because the calls that a repeated request
-    // makes in turn count as repeated as well.
-    constexpr double kUsedShare = 0.5;
-    retry.m_tokenRatio = kUsedShare * limits.m_maxRetryRatio;
-    retry.m_fleetMaxTokens = kUsedShare * limits.m_maxRetryBurst;
-    retry.m_maxTokens = 1;   // until the other nodes are known
-    retry.m_refusalCost = 0; // a refusal between nodes reaches no target
-  }
+  retry.m_budgetAtTarget = limits.m_maxRetryRatio > 0;
   return retry;
 }
 
+RepeatBudgetSettings
+Node::MakeRepeatBudgetSettings() const
+{
+  const DeploymentLimits& limits = m_settings.m_platform.m_deploymentLimits;
+  return RepeatBudgetFor({ limits.m_maxRetryRatio, limits.m_maxRetryBurst },
+                         limits.m_retryWindow);
+}
+
 void
 Node::RegisterDecisionServices(Kernel& aKernel)
 {
@@ -195,6 +196,8 @@
   const NodeInstance self{ m_settings.m_node, m_incarnation };
   aKernel.Add("router", MakeRouter(router, *m_random));
   aKernel.Add("retry", MakeRetryPolicy(MakeRetrySettings(), *m_random));
+  aKernel.Add("repeat_budget",
+              MakeRepeatBudget(MakeRepeatBudgetSettings(), m_clock->Now()));
   aKernel.Add("admission",
               HasPlatform() ? MakeReportedLoadAdmission(AdmissionSettings())
                             : MakeAdaptiveAdmission(AdmissionSettings()));
@@ -292,7 +295,8 @@
     upstream.m_connectTimeout = std::chrono::milliseconds(250);
     const DeploymentLimits& limits = m_settings.m_platform.m_deploymentLimits;
     upstream.m_coldBurstFactor = std::max(1.0, limits.m_coldBurstFactor);
-    upstream.m_coldBurstAllowance = kUsedAllowance * limits.m_coldBurstAllowance;
+    upstream.m_coldBurstAllowance =
+      kUsedAllowance * limits.m_coldBurstAllowance;
     if (m_settings.m_platform.m_target) {
       upstream.m_expectedService = m_settings.m_platform.m_service;
       upstream.m_expectedAddress = *m_settings.m_platform.m_target;
@@ -375,8 +379,8 @@
       { "listen", ToString(m_settings.m_listen) },
       { "peer_listen", ToString(m_settings.m_peerListen) },
       { "control", ToString(m_settings.m_controlListen) },
-      { "retry_share", MakeRetrySettings().m_tokenRatio },
-      { "retry_reserve", MakeRetrySettings().m_fleetMaxTokens } });
+      { "repeat_share", MakeRepeatBudgetSettings().m_all.m_ratio },
+      { "repeat_burst", MakeRepeatBudgetSettings().m_all.m_burst } });
   asio::co_spawn(
     aKernel.Executor(), WatchNodeFile(aKernel.Executor()), asio::detached);
   co_await WaitForSignal(signals);
--- /dev/null
+++ b/src/retry/repeat_budget.cpp
@@ -0,0 +1,158 @@
+// Sliding windows of first arrivals and repeats at one target.
+#include "retry/repeat_budget.h"
+
+#include <algorithm>
+#include <deque>
+
+namespace sassafrasquay {
+
+namespace {
+
+class WindowedRepeatBudget : public RepeatBudget
+{
+public:
+  WindowedRepeatBudget(RepeatBudgetSettings aSettings, TimePoint aStart)
+    : m_settings(aSettings)
+    , m_start(aStart)
+  {
+  }
+
+  void SetTargetCount(size_t aTargets, TimePoint aNow) override;
+  void OnFirstArrival(TimePoint aNow) override
+  {
+    Expire(aNow);
+    m_firstArrivals.push_back(aNow);
+  }
+  bool HasRoom(bool aExecuted, TimePoint aNow) override;
+  bool TryTake(bool aExecuted, TimePoint aNow) override;
+
+private:
+  struct TargetCount
+  {
+    TimePoint m_replacedAt; // when a later count took its place
+    size_t m_targets = 0;
+  };
+
+  void Expire(TimePoint aNow);
+  bool IsBelow(const RepeatLimit& aLimit,
+               const std::deque<TimePoint>& aRepeats,
+               TimePoint aNow) const;
+
+  RepeatBudgetSettings m_settings;
+  TimePoint m_start;
+  std::deque<TimePoint> m_firstArrivals;   // within the last window
+  std::deque<TimePoint> m_repeats;         // within the last window
+  std::deque<TimePoint> m_executedRepeats; // those of them
+  size_t m_targets = 0;
+  std::deque<TargetCount> m_earlierCounts; // in force within the last window
+};
+
+void
+WindowedRepeatBudget::Expire(TimePoint aNow)
+{
+  const TimePoint oldest = aNow - m_settings.m_window;
+  for (std::deque<TimePoint>* events :
+       { &m_firstArrivals, &m_repeats, &m_executedRepeats }) {
+    while (!events->empty() && events->front() <= oldest) {
+      events->pop_front();
+    }
+  }
+  while (!m_earlierCounts.empty() &&
+         m_earlierCounts.front().m_replacedAt <= oldest) {
+    m_earlierCounts.pop_front();
+  }
+}
+
+void
+WindowedRepeatBudget::SetTargetCount(size_t aTargets, TimePoint aNow)
+{
+  if (aTargets == m_targets) {
+    return;
+  }
+  Expire(aNow);
+  if (aTargets < m_targets) {
+    // Smaller earlier counts have no effect beside this one.
+    while (!m_earlierCounts.empty() &&
+           m_earlierCounts.back().m_targets <= m_targets) {
+      m_earlierCounts.pop_back();
+    }
+    m_earlierCounts.push_back({ aNow, m_targets });
+  }
+  m_targets = aTargets;
+}
+
+bool
+WindowedRepeatBudget::IsBelow(const RepeatLimit& aLimit,
+                              const std::deque<TimePoint>& aRepeats,
+                              TimePoint aNow) const
+{
+  if (aLimit.m_ratio <= 0) {
+    return true;
+  }
+  double limit = aLimit.m_ratio * static_cast<double>(m_firstArrivals.size());
+  if (m_targets > 0 && aNow - m_start >= m_settings.m_window) {
+    // The earlier counts fall from front to back.
+    const size_t targets =
+      m_earlierCounts.empty()
+        ? m_targets
+        : std::max(m_targets, m_earlierCounts.front().m_targets);
+    limit += aLimit.m_burst / static_cast<double>(targets);
+  }
+  return static_cast<double>(aRepeats.size()) + 1 <= limit;
+}
+
+bool
+WindowedRepeatBudget::HasRoom(bool aExecuted, TimePoint aNow)
+{
+  Expire(aNow);
+  return IsBelow(m_settings.m_all, m_repeats, aNow) &&
+         (!aExecuted ||
+          IsBelow(m_settings.m_executed, m_executedRepeats, aNow));
+}
+
+bool
+WindowedRepeatBudget::TryTake(bool aExecuted, TimePoint aNow)
+{
+  if (!HasRoom(aExecuted, aNow)) {
+    return false;
+  }
+  m_repeats.push_back(aNow);
+  if (aExecuted) {
+    m_executedRepeats.push_back(aNow);
+  }
+  return true;
+}
+
+RepeatLimit
+Share(const RepeatLimit& aLimit, double aShare)
+{
+  return { aShare * aLimit.m_ratio, aShare * aLimit.m_burst };
+}
+
+} // namespace
+
+RepeatBudgetSettings
+RepeatBudgetFor(const RepeatLimit& aDeployment, Duration aWindow)
+{
+  // The calls of a repeated execution count as repeats at the services that it
+  // calls. Executions that make calls fail, and are repeated, more often than
+  // others, so with two calls each a called service gets up to the first share
+  // and twice the second one.
+  constexpr double kUsedShare = 0.45;
+  constexpr double kExecutedShare = 0.25;
+  RepeatBudgetSettings settings;
+  settings.m_all = Share(aDeployment, kUsedShare);
+  settings.m_executed = Share(aDeployment, kExecutedShare);
+  if (aWindow > Duration::zero()) {
+    settings.m_window = aWindow;
+  }
+  return settings;
+}
+
+std::unique_ptr<RepeatBudget>
+MakeRepeatBudget(RepeatBudgetSettings aSettings, TimePoint aStart)
+{
+  return std::make_unique<WindowedRepeatBudget>(aSettings, aStart);
+}
+
+} // namespace sassafrasquay
--- a/src/retry/retry.cpp
+++ b/src/retry/retry.cpp
@@ -31,6 +31,7 @@
     case ResultCode::TargetLeaving:
     case ResultCode::TargetCold:
     case ResultCode::TargetSlow:
+    case ResultCode::RetryLimit:
     case ResultCode::WrongTarget:
     case ResultCode::AnswerInvalid:
     case ResultCode::NodeStopping:
@@ -48,14 +49,6 @@
   }
 }
 
-// Returns true if the target itself refused the attempt, and false if the node
-// on its VM did.
-bool
-ReachedTarget(ResultCode aCode)
-{
-  return aCode == ResultCode::TargetShed || aCode == ResultCode::WrongTarget;
-}
-
 struct Budget
 {
   double m_tokens = 0;
@@ -80,7 +73,6 @@
   void OnRequest(std::string_view aService, RetryMarker aMarker) override;
   void OnResult(std::string_view aService, ResultCode aCode) override;
   RetryDecision Decide(const RetryAttempt& aAttempt) override;
-  void SetFleetSize(size_t aNodes) override;
   double Tokens(std::string_view aService) const override;
 
 private:
@@ -106,19 +98,6 @@
     .first->second;
 }
 
-void
-BudgetedRetryPolicy::SetFleetSize(size_t aNodes)
-{
-  if (m_settings.m_fleetMaxTokens <= 0) {
-    return;
-  }
-  const auto nodes = static_cast<double>(std::max<size_t>(1, aNodes));
-  m_settings.m_maxTokens = std::max(1.0, m_settings.m_fleetMaxTokens / nodes);
-  for (auto& [service, budget] : m_budgets) {
-    budget.m_tokens = std::min(budget.m_tokens, m_settings.m_maxTokens);
-  }
-}
-
 double
 BudgetedRetryPolicy::Tokens(std::string_view aService) const
 {
@@ -130,6 +109,9 @@
 bool
 BudgetedRetryPolicy::TryTake(std::string_view aService, double aCost)
 {
+  if (m_settings.m_budgetAtTarget) {
+    return true;
+  }
   Budget& budget = BudgetOf(aService);
   if (budget.m_tokens < aCost) {
     return false;
@@ -203,8 +185,9 @@
   if (aAttempt.m_remaining < decision.m_delay + aAttempt.m_expectedDuration) {
     return Stop(RetryReason::NoTimeLeft);
   }
-  const double cost =
-    ReachedTarget(aAttempt.m_code) ? 1 : m_settings.m_refusalCost;
+  const double cost = MayHaveReachedTarget(aAttempt.m_code, Executed::No)
+                        ? 1
+                        : m_settings.m_refusalCost;
   if (!TryTake(aAttempt.m_service, cost)) {
     return Stop(RetryReason::BudgetExhausted);
   }
@@ -227,7 +210,8 @@
   const uint32_t maxAttempts = aAttempt.m_maxDispatchedAttempts > 0
                                  ? aAttempt.m_maxDispatchedAttempts
                                  : m_settings.m_maxDispatchedAttempts;
-  if (aAttempt.m_dispatchedAttempts >= maxAttempts) {
+  if (aAttempt.m_dispatchedAttempts >= maxAttempts ||
+      aAttempt.m_refusedAttempts > m_settings.m_maxRefused) {
     return Stop(RetryReason::AttemptLimit);
   }
   if (aAttempt.m_remaining < aAttempt.m_expectedDuration) {
@@ -243,6 +227,13 @@
 
 } // namespace
 
+bool
+MayHaveReachedTarget(ResultCode aCode, Executed aExecuted)
+{
+  return aExecuted != Executed::No || aCode == ResultCode::TargetShed ||
+         aCode == ResultCode::WrongTarget;
+}
+
 std::string_view
 ToString(RetryReason aReason)
 {
--- a/src/retry/retry.h
+++ b/src/retry/retry.h
@@ -73,6 +73,12 @@
 std::string_view
 ToString(RetryReason aReason);
 
+// False when the attempt provably ended before the target: the node on the
+// target's VM refused it, or no connection could be opened. aExecuted: of this
+// attempt alone.
+bool
+MayHaveReachedTarget(ResultCode aCode, Executed aExecuted);
+
 struct RetryDecision
 {
   RetryAction m_action = RetryAction::Stop;
@@ -96,8 +102,6 @@
   virtual void OnResult(std::string_view aService, ResultCode aCode) = 0;
   // Takes the cost from the budget when the decision is to retry.
   virtual RetryDecision Decide(const RetryAttempt& aAttempt) = 0;
-  // Sets the number of nodes that share RetrySettings::m_fleetMaxTokens.
-  virtual void SetFleetSize(size_t /*aNodes*/) {}
   // Returns the current budget of the service, in retries.
   virtual double Tokens(std::string_view aService) const = 0;
 };
@@ -110,11 +114,12 @@
 {
   double m_tokenRatio = 0.10; // tokens added by each request; a retry costs 1
   double m_maxTokens = 10;    // initial and maximum tokens of a service
-  // Maximum for all nodes together, replaces m_maxTokens; 0: not used.
-  double m_fleetMaxTokens = 0;
   // Cost of a retry after a refusal by the target's node: the attempt caused no
   // work at the target.
   double m_refusalCost = 0.25;
+  // The nodes beside the targets limit the repeats (RepeatBudget), so a retry
+  // takes no tokens here.
+  bool m_budgetAtTarget = false;
   // Maximum number of attempts of one request that may be executed.
   uint32_t m_maxDispatchedAttempts = 2;
   // Maximum number of further attempts of one request after refusals.
--- a/src/upstream/gateway.cpp
+++ b/src/upstream/gateway.cpp
@@ -2,6 +2,7 @@
 #include "logging/logging.h"
 #include "metrics/metrics.h"
 #include "quarantine/quarantine.h"
+#include "retry/repeat_budget.h"
 #include "targets/target_reports.h"
 #include "upstream/target_probes.h"
 
@@ -93,6 +94,7 @@
   std::shared_ptr<AdmissionController> m_admission;
   std::shared_ptr<CallLedger> m_ledger;
   std::shared_ptr<Quarantine> m_quarantine;
+  std::shared_ptr<RepeatBudget> m_repeatBudget;
   MetricCounter* m_crashCounter = nullptr;
   std::unique_ptr<TargetClient> m_client;
   std::unique_ptr<TargetProbes> m_probes;
@@ -183,6 +185,7 @@
   m_admission = aKernel.Find<AdmissionController>("admission");
   m_ledger = aKernel.Find<CallLedger>("ledger");
   m_quarantine = aKernel.Find<Quarantine>("quarantine");
+  m_repeatBudget = aKernel.Find<RepeatBudget>("repeat_budget");
   m_crashCounter = &aKernel.Find<Metrics>("metrics")->Counter(
     "sassafrasquay_target_crashes_total",
     "Crashes of the local target while requests were running.",
@@ -369,11 +372,18 @@
   if (result.m_verdict != QuarantineVerdict::Allowed) {
     return result.m_code;
   }
-  const StartResult started = m_ledger->Start(aHead.m_call, now);
+  const bool withinBudget =
+    !aHead.m_repeat || m_repeatBudget->TryTake(aHead.m_retrySpent, now);
+  const StartResult started = withinBudget
+                                ? m_ledger->Start(aHead.m_call, now)
+                                : StartResult{ false, ResultCode::RetryLimit };
   if (!started.m_mayDispatch) {
     m_quarantine->OnFinished(aHead.m_identity, false, now);
     return started.m_code;
   }
+  if (!aHead.m_repeat) {
+    m_repeatBudget->OnFirstArrival(now);
+  }
   m_runningCalls.emplace(aHead.m_call, aHead.m_identity);
   return std::nullopt;
 }
@@ -391,6 +401,10 @@
   if (!m_target || m_target->m_service != aHead.m_service) {
     co_return RefuseQueued(aHead, ResultCode::NotReady);
   }
+  if (aHead.m_repeat &&
+      !m_repeatBudget->HasRoom(aHead.m_retrySpent, m_clock->Now())) {
+    co_return RefuseQueued(aHead, ResultCode::RetryLimit);
+  }
   m_probes->OnRequest();
   co_await RefreshLoad();
   const AdmissionResult admitted = co_await Admit(aHead, deadline);
@@ -490,6 +504,8 @@
       { "service", aHead.m_service },
       { "verdict", kVerdicts[static_cast<size_t>(aResult.m_verdict)] },
       { "reason", refused ? ResultRowFor(aResult.m_code).m_name : "capacity" },
+      { "priority", static_cast<uint64_t>(aHead.m_priority) },
+      { "repeat", aHead.m_repeat },
       { "in_flight", load.m_inFlight },
       { "limit", load.m_limit },
       { "queued", load.m_queued },
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -109,6 +109,7 @@
   head.m_latencyObjective = DecodeDuration(aIn.getGoalNs());
   head.m_routeClass = aIn.getRouteClass();
   head.m_mayQueue = aIn.getMayQueue();
+  head.m_repeat = aIn.getRepeat();
   head.m_remaining = DecodeDuration(aIn.getRemainingNs());
   head.m_priority = aIn.getPriority();
   head.m_idempotent = aIn.getIdempotent();
--- a/src/wire/encode.cpp
+++ b/src/wire/encode.cpp
@@ -79,6 +79,7 @@
     out.setGoalNs(aHead.m_latencyObjective.count());
     out.setRouteClass(aHead.m_routeClass);
     out.setMayQueue(aHead.m_mayQueue);
+    out.setRepeat(aHead.m_repeat);
     out.setRemainingNs(aHead.m_remaining.count());
     out.setPriority(aHead.m_priority);
     out.setIdempotent(aHead.m_idempotent);
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -58,6 +58,7 @@
   ageNs @16 :Int64;
   routeClass @17 :UInt32;
   mayQueue @18 :Bool = true;
+  repeat @19 :Bool;
 }
 
 struct AnswerHead {
--- /dev/null
+++ b/tests/unit/repeat_budget_test.cpp
@@ -0,0 +1,111 @@
+// Tests the budget of repeated requests beside a target.
+#include "retry/repeat_budget.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sassafrasquay;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint kStart{ 1000s };
+
+RepeatBudgetSettings
+Settings(double aRatio, double aBurst)
+{
+  RepeatBudgetSettings settings;
+  settings.m_all = { aRatio, aBurst };
+  settings.m_executed = { aRatio / 2, aBurst / 2 };
+  return settings;
+}
+
+int
+TakeAll(RepeatBudget& aBudget, TimePoint aNow, bool aExecuted = false)
+{
+  int taken = 0;
+  while (taken < 10000 && aBudget.TryTake(aExecuted, aNow)) {
+    ++taken;
+  }
+  return taken;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_repeat_budget_beside_a_target)
+
+BOOST_AUTO_TEST_SUITE(after_the_first_window)
+
+// Guards against repeats beyond the share of the first arrivals and the part of
+// the burst, in any window.
+BOOST_AUTO_TEST_CASE(grants_a_share_of_the_arrivals_and_its_part_of_the_burst)
+{
+  const auto budget = MakeRepeatBudget(Settings(0.1, 40), kStart);
+  budget->SetTargetCount(10, kStart);
+  const TimePoint now = kStart + 20s;
+  for (int i = 0; i < 50; ++i) {
+    budget->OnFirstArrival(now);
+  }
+  BOOST_TEST(TakeAll(*budget, now) == 9); // 50 * 0.1 + 40 / 10
+  BOOST_TEST(TakeAll(*budget, now + 9999ms) == 0);
+  BOOST_TEST(TakeAll(*budget, now + 10s) == 4); // all of them have left it
+}
+
+// Guards against repeated executions that use the whole budget: their own calls
+// are repeats at other services, beyond what those services grant.
+BOOST_AUTO_TEST_CASE(grants_less_to_requests_that_may_have_been_executed)
+{
+  const auto budget = MakeRepeatBudget(Settings(0.1, 40), kStart);
+  budget->SetTargetCount(10, kStart);
+  const TimePoint now = kStart + 20s;
+  for (int i = 0; i < 60; ++i) {
+    budget->OnFirstArrival(now);
+  }
+  BOOST_TEST(TakeAll(*budget, now, true) == 5);
+  BOOST_TEST(TakeAll(*budget, now, false) == 5); // 10 in all
+  BOOST_TEST(!budget->HasRoom(true, now));
+}
+
+// Guards against a node that takes over the parts of others at the moment in
+// which it loses contact with them.
+BOOST_AUTO_TEST_CASE(
+  keeps_its_part_for_a_window_when_the_number_of_targets_falls)
+{
+  const auto budget = MakeRepeatBudget(Settings(0.1, 40), kStart);
+  budget->SetTargetCount(10, kStart);
+  budget->SetTargetCount(2, kStart + 20s);
+  BOOST_TEST(TakeAll(*budget, kStart + 21s) == 4);
+  BOOST_TEST(TakeAll(*budget, kStart + 31s) == 20);
+  budget->SetTargetCount(40, kStart + 32s);
+  BOOST_TEST(TakeAll(*budget, kStart + 50s) == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(in_the_first_window_of_a_process)
+
+// Guards against a burst that is used twice when the node beside a target
+// restarts.
+BOOST_AUTO_TEST_CASE(grants_no_burst)
+{
+  const auto budget = MakeRepeatBudget(Settings(0.1, 40), kStart);
+  budget->SetTargetCount(1, kStart);
+  BOOST_TEST(TakeAll(*budget, kStart + 5s) == 0);
+  for (int i = 0; i < 20; ++i) {
+    budget->OnFirstArrival(kStart + 5s);
+  }
+  BOOST_TEST(TakeAll(*budget, kStart + 5s) == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(without_a_limit)
+
+BOOST_AUTO_TEST_CASE(grants_every_repeat)
+{
+  const auto budget = MakeRepeatBudget(RepeatBudgetSettings(), kStart);
+  BOOST_TEST(TakeAll(*budget, kStart) == 10000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/retry_test.cpp
+++ b/tests/unit/retry_test.cpp
@@ -146,20 +146,48 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-BOOST_AUTO_TEST_SUITE(the_budget_of_a_fleet)
+BOOST_AUTO_TEST_SUITE(with_the_budget_beside_the_targets)
 
-// Guards against nodes that together exceed the limit of the fleet.
-BOOST_AUTO_TEST_CASE(is_shared_by_its_nodes)
+// Guards against an entry node that stops retrying although the nodes beside
+// the targets have room, and against retries of one request without an end when
+// they have none.
+BOOST_AUTO_TEST_CASE(only_the_limits_of_one_request_apply)
 {
   SeededRandom random{ 3 };
   RetrySettings settings;
-  settings.m_fleetMaxTokens = 40;
+  settings.m_budgetAtTarget = true;
+  settings.m_maxTokens = 0;
   const auto policy = MakeRetryPolicy(settings, random);
-  policy->OnRequest("s", RetryMarker::None);
-  policy->SetFleetSize(10);
-  BOOST_TEST(policy->Tokens("s") == 4.0);
-  policy->SetFleetSize(100);
-  BOOST_TEST(policy->Tokens("s") == 1.0); // the minimum
+  RetryAttempt shed = RefusedAttempt(1);
+  shed.m_code = ResultCode::TargetShed;
+  RetryAttempt failed = shed;
+  failed.m_code = ResultCode::TargetFailed;
+  failed.m_executed = Executed::Maybe;
+  failed.m_idempotent = true;
+  failed.m_dispatchedAttempts = 1;
+  for (const RetryAttempt& attempt : { shed, failed }) {
+    BOOST_CHECK(policy->Decide(attempt).m_action != RetryAction::Stop);
+  }
+  for (RetryAttempt attempt : { shed, failed }) {
+    attempt.m_code = ResultCode::RetryLimit;
+    attempt.m_refusedAttempts = settings.m_maxRefused;
+    BOOST_CHECK(policy->Decide(attempt).m_action != RetryAction::Stop);
+    ++attempt.m_refusedAttempts;
+    BOOST_CHECK(policy->Decide(attempt).m_reason == RetryReason::AttemptLimit);
+  }
+}
+
+// Guards against a repeat that is counted as a first arrival.
+BOOST_AUTO_TEST_CASE(
+  an_attempt_counts_unless_it_provably_ended_before_the_target)
+{
+  BOOST_TEST(MayHaveReachedTarget(ResultCode::TargetFailed, Executed::Maybe));
+  BOOST_TEST(MayHaveReachedTarget(ResultCode::Ok, Executed::Yes));
+  BOOST_TEST(MayHaveReachedTarget(ResultCode::PeerLost, Executed::Maybe));
+  BOOST_TEST(MayHaveReachedTarget(ResultCode::TargetShed, Executed::No));
+  BOOST_TEST(MayHaveReachedTarget(ResultCode::WrongTarget, Executed::No));
+  BOOST_TEST(!MayHaveReachedTarget(ResultCode::Overloaded, Executed::No));
+  BOOST_TEST(!MayHaveReachedTarget(ResultCode::RetryLimit, Executed::No));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -83,6 +83,7 @@
   head.m_latencyObjective = 9ms;
   head.m_routeClass = 10;
   head.m_mayQueue = false;
+  head.m_repeat = true;
   head.m_identity = 15;
   head.m_remaining = 10s;
   head.m_priority = 11;
