Learn the best concurrency of a target from its first completions

Cause: a target is nearly full only during overload, and the time that requests take there was learnt with a weight of 5% a completion, so that a target of 4 slots kept taking 4 requests for some 50 completions although 3 get more done. Change: the first samples of each concurrency weigh more. The unit test fails with the old weight.

--- a/src/admission/reported_load_admission.cpp
+++ b/src/admission/reported_load_admission.cpp
@@ -26,8 +26,10 @@
 // A report that the target is slow expires after this time without a newer one.
 constexpr Duration kSlownessValidity = std::chrono::milliseconds(250);
 // Weight of one completion in the relative service time at its concurrency;
-// low, because single service times differ by a factor of two.
+// low, because single service times differ by a factor of two. The first ones
+// weigh more, so that the limit is known within a second of overload.
 constexpr double kRelativeTimeWeight = 0.05;
+constexpr double kInitialSamples = 2; // weight of the assumed value of 1
 // Estimated gain in throughput that justifies a limit below the slots.
 constexpr double kMinThroughputGain = 1.07;
 // Once in this many starts, the limit is raised to the slots to measure the
@@ -138,6 +140,7 @@
   uint32_t m_limit = 0; // requests in flight, at most the slots
   // Service time with 1, 2, ... requests in flight / mean of its class.
   std::vector<double> m_relativeTimes;
+  std::vector<uint32_t> m_relativeTimeSamples;
   uint64_t m_startCount = 0;
 
   uint32_t m_slowness = kNormalPercent;
@@ -172,6 +175,7 @@
   if (aSlots != m_slots) {
     m_slots = aSlots;
     m_relativeTimes.assign(aSlots, 1.0);
+    m_relativeTimeSamples.assign(aSlots, 0);
     m_limit = aSlots;
   }
   // A target that was wrongly taken for lost still runs its requests.
@@ -356,9 +360,11 @@
   double factor = 1; // by definition, up to half of the slots
   if (aRequest.m_concurrency > m_slots / 2 && classMean > 0 &&
       aRequest.m_concurrency <= m_relativeTimes.size()) {
-    double& relativeTime = m_relativeTimes[aRequest.m_concurrency - 1];
-    relativeTime +=
-      kRelativeTimeWeight * (serviceTime / classMean - relativeTime);
+    const size_t index = aRequest.m_concurrency - 1;
+    double& relativeTime = m_relativeTimes[index];
+    const double samples = kInitialSamples + ++m_relativeTimeSamples[index];
+    relativeTime += std::max(kRelativeTimeWeight, 1 / samples) *
+                    (serviceTime / classMean - relativeTime);
     factor = relativeTime;
     UpdateLimit();
   }
--- a/tests/unit/reported_load_admission_test.cpp
+++ b/tests/unit/reported_load_admission_test.cpp
@@ -200,6 +200,30 @@
   }
 }
 
+// Guards against a burst that is served at the slower speed for as long as it
+// lasts, because a target is nearly full only then.
+BOOST_AUTO_TEST_CASE(is_known_after_twenty_completions_when_nearly_full)
+{
+  const auto admission = MakeReportedLoadAdmission(AdmissionSettings());
+  admission->SetTarget(4, 1, kStart);
+  for (int round = 0; round < 20; ++round) {
+    std::vector<CallId> calls;
+    for (uint32_t i = 0; i < 4; ++i) {
+      const AdmissionRequest request = Request();
+      if (admission->Offer(request, kStart).m_verdict ==
+          AdmissionVerdict::Admitted) {
+        calls.push_back(request.m_call);
+      }
+    }
+    for (size_t i = 0; i < calls.size(); ++i) {
+      const Duration serviceTime = i == 3 ? 150ms : 100ms;
+      admission->Finish(
+        calls[i], { RequestOutcome::Completed, serviceTime }, kStart);
+    }
+  }
+  BOOST_TEST(admission->Report(kStart).m_limit == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_cold_target)
