Cut bytes of a target that have no end

Cause: each chunk of a response renewed its idle timeout, so a target that sends without end kept its slot, its connection and the node's processor time; after the caller of a non-idempotent request had left, the node read on for ever. A rejection with such a body, or interim responses without end, used up the caller's time. Change: a response body ends at the request's time plus an overrun (1 s on the platform), 256 KiB are read after the caller has left and of rejections and stale responses, and 32 interim responses are accepted. The stand-in target sends such bytes (endless=1 to 4).

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -293,6 +293,8 @@
   upstream.m_loadMaxAge = m_settings.m_loadMaxAge;
   if (HasPlatform()) {
     upstream.m_connectTimeout = std::chrono::milliseconds(250);
+    // Callers leave at the end of their time.
+    upstream.m_responseOverrun = std::chrono::seconds(1);
     const DeploymentLimits& limits = m_settings.m_platform.m_deploymentLimits;
     upstream.m_coldBurstFactor = std::max(1.0, limits.m_coldBurstFactor);
     upstream.m_coldBurstAllowance =
--- a/src/upstream/target_client.cpp
+++ b/src/upstream/target_client.cpp
@@ -27,6 +27,11 @@
 // Late responses to earlier requests that are skipped before the response to
 // the current request.
 constexpr int kMaxStaleResponses = 4;
+constexpr int kMaxInterimResponses = 32; // 1xx heads before a response
+// Bytes read only to keep a connection usable: bodies of rejections and stale
+// responses, and the rest of a response whose caller has disconnected. A target
+// may send without end.
+constexpr size_t kMaxDiscardedBytes = 256 * 1024;
 // A target may close an idle connection at any moment after its advertised
 // keep-alive timeout. The margin keeps a request from racing with that close.
 constexpr Duration kKeepAliveMargin = std::chrono::milliseconds(1500);
@@ -76,6 +81,7 @@
                 ResponseSink& aResponse,
                 const UpstreamSettings& aSettings,
                 const TargetDialect& aDialect,
+                const Clock& aClock,
                 bool aReadToEnd,
                 const std::function<void()>& aOnResponseStart)
     : m_connection(aConnection)
@@ -84,6 +90,7 @@
     , m_sink(aResponse)
     , m_settings(aSettings)
     , m_dialect(aDialect)
+    , m_clock(aClock)
     , m_readToEnd(aReadToEnd)
     , m_onResponseStart(aOnResponseStart)
   {
@@ -116,11 +123,13 @@
   ResponseSink& m_sink;
   const UpstreamSettings& m_settings;
   const TargetDialect& m_dialect;
+  const Clock& m_clock;
   bool m_readToEnd;
   const std::function<void()>& m_onResponseStart;
   http::request<http::buffer_body> m_request;
   std::optional<http::response_parser<http::buffer_body>> m_parser;
   TargetResult m_result;
+  TimePoint m_bodyEnd; // the response has ended by then, or is cut
   ResponseHead m_responseHead;
   ResponseInfo m_info;
   std::string m_buffered; // response body that is not forwarded yet
@@ -219,6 +228,7 @@
 {
   boost::system::error_code error;
   int skipped = 0;
+  int interim = 0;
   while (true) {
     co_await http::async_read_header(
       m_connection.m_stream, m_connection.m_buffer, *m_parser, Redirect(error));
@@ -226,6 +236,9 @@
       co_return error;
     }
     if (m_parser->get().result_int() < 200) { // 100 or 103
+      if (++interim > kMaxInterimResponses) {
+        co_return http::make_error_code(http::error::bad_status);
+      }
       ResetParser();
       continue;
     }
@@ -248,7 +261,11 @@
 {
   std::array<char, kReadChunkBytes> bytes;
   boost::system::error_code error;
+  size_t discarded = 0;
   while (!m_parser->is_done()) {
+    if (discarded > kMaxDiscardedBytes) {
+      co_return http::make_error_code(http::error::body_limit);
+    }
     auto& body = m_parser->get().body();
     body.data = bytes.data();
     body.size = bytes.size();
@@ -258,6 +275,7 @@
     if (error && error != http::error::need_buffer) {
       co_return error;
     }
+    discarded += bytes.size() - body.size;
   }
   co_return boost::system::error_code();
 }
@@ -287,6 +305,7 @@
   using namespace asio::experimental::awaitable_operators;
   BuildRequest(aTargetId, aRemaining);
   m_connection.m_stream.expires_after(aRemaining);
+  m_bodyEnd = m_clock.Now() + aRemaining + m_settings.m_responseOverrun;
   boost::system::error_code error;
   if (m_head.m_body) {
     // Even after a failed write the target may have sent an early response.
@@ -419,13 +438,14 @@
   co_return !failed;
 }
 
-// False when the response ended early, or when the sink failed and the rest is
-// not needed.
+// False when the response ended early or did not end in time, or when the sink
+// failed and the rest is not needed.
 asio::awaitable<bool>
 TargetRequest::ForwardBody()
 {
   std::array<char, kReadChunkBytes> bytes;
   auto& body = m_parser->get().body();
+  size_t discarded = 0; // after the sink has failed
   while (true) {
     boost::system::error_code error;
     size_t count = 0;
@@ -451,11 +471,17 @@
     if (last) {
       co_return true;
     }
-    if (m_sinkFailed && !m_readToEnd) {
+    discarded += m_sinkFailed ? count : 0;
+    if (m_sinkFailed && (!m_readToEnd || discarded > kMaxDiscardedBytes)) {
       co_return false;
     }
     if (m_result.m_responseStarted) {
-      m_connection.m_stream.expires_after(m_settings.m_bodyIdleTimeout);
+      const Duration left = m_bodyEnd - m_clock.Now();
+      if (left <= Duration::zero()) {
+        co_return false;
+      }
+      m_connection.m_stream.expires_after(
+        std::min(left, m_settings.m_bodyIdleTimeout));
     }
   }
 }
@@ -578,6 +604,7 @@
                         aResponse,
                         m_settings,
                         *m_dialect,
+                        *m_clock,
                         aReadToEnd,
                         aOnResponseStart);
   result = co_await request.Run(id, remaining);
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -85,6 +85,8 @@
   Duration m_connectTimeout{ std::chrono::milliseconds(500) };
   // Between two chunks of a response body.
   Duration m_bodyIdleTimeout{ std::chrono::seconds(30) };
+  // A response that has started may take this long beyond the request's time.
+  Duration m_responseOverrun{ std::chrono::minutes(10) };
   // Of a pooled connection.
   Duration m_idleConnectionTimeout{ std::chrono::seconds(20) };
   Duration m_cancelTimeout{ std::chrono::seconds(1) };
--- a/tests/drills/path_drill.cpp
+++ b/tests/drills/path_drill.cpp
@@ -185,6 +185,46 @@
   BOOST_TEST(SharedFleet().RunCounts().count("shed-1") == 0U);
 }
 
+// Guards against bytes without an end that hold a slot, a connection or the
+// caller's time for as long as they come: in interim responses, in header
+// fields, in the body of a rejection, and in a body whose caller has left.
+BOOST_AUTO_TEST_CASE(bytes_without_an_end_are_cut)
+{
+  Fleet fleet;
+  fleet.Add("entry", 1);
+  fleet.Add("endless", 1, 1);
+  fleet.Start();
+  HttpRequest request;
+  request.m_method = "POST";
+  request.m_host = "endless";
+  request.m_headers["Sassafrasquay-Timeout-Ms"] = "10000";
+  const auto sendWith = [&](uint64_t aKind, Duration aTimeout) {
+    fleet.SetFault(fleet.At(1), "endless", aKind);
+    request.m_headers["X-Identity"] = "endless-" + std::to_string(aKind);
+    request.m_timeout = aTimeout;
+    const HttpResponse response = Send(fleet.At(0).m_callerEndpoint, request);
+    fleet.SetFault(fleet.At(1), "endless", 0);
+    return response;
+  };
+  // Each ends before the caller's time does.
+  for (const uint64_t kind : { 1, 2 }) {
+    const HttpResponse response = sendWith(kind, std::chrono::seconds(9));
+    BOOST_TEST(response.m_complete);
+    BOOST_TEST(response.ResultCode() == 302);
+    BOOST_TEST(response.RunHeader() == "maybe");
+  }
+  const HttpResponse rejected = sendWith(4, std::chrono::seconds(9));
+  BOOST_TEST(rejected.ResultCode() == 305);
+  BOOST_TEST(rejected.RunHeader() == "no");
+  BOOST_TEST(!sendWith(3, std::chrono::seconds(1)).m_complete);
+  // The only slot is free again.
+  request.m_headers["X-Identity"] = "after";
+  request.m_timeout = std::chrono::seconds(9);
+  const HttpResponse after = Send(fleet.At(0).m_callerEndpoint, request);
+  BOOST_TEST(after.m_status == 200U);
+  BOOST_TEST(fleet.RunCounts()["after"] == 1U);
+}
+
 // Guards against a request without a response when the target never responds.
 BOOST_AUTO_TEST_CASE(the_deadline_ends_a_request_without_a_response)
 {
--- a/tools/standin_target.cpp
+++ b/tools/standin_target.cpp
@@ -27,6 +27,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -60,6 +61,11 @@
 
 constexpr Duration kAnnounceInterval = std::chrono::seconds(1);
 constexpr size_t kReadBufferBytes = 64 * 1024;
+// Values of the fault "endless".
+constexpr uint64_t kEndlessInterim = 1;
+constexpr uint64_t kEndlessFields = 2;
+constexpr uint64_t kEndlessRejection = 4;
+constexpr Duration kEndlessInterval = std::chrono::milliseconds(1);
 
 // Set with /standin/set.
 struct Faults
@@ -76,6 +82,9 @@
   uint64_t m_reportedSlowness = 100; // slowness: value in the load header
   uint64_t m_suppressReports = 0;    // mute_reports=1: sends no status reports
   uint64_t m_healthDelayMs = 0;      // health_ms: delay of the health response
+  // endless: bytes without an end, until the connection closes. 1: interim
+  // responses, 2: header fields, 3: a body, 4: the body of a rejection.
+  uint64_t m_endless = 0;
 };
 
 struct State
@@ -118,6 +127,7 @@
     { "slowness", &aFaults.m_reportedSlowness },
     { "mute_reports", &aFaults.m_suppressReports },
     { "health_ms", &aFaults.m_healthDelayMs },
+    { "endless", &aFaults.m_endless },
   };
   const auto found = fields.find(aName);
   if (found != fields.end()) {
@@ -316,6 +326,7 @@
   asio::awaitable<bool> HandleRequest(
     const http::request<http::buffer_body>& aRequest,
     uint64_t aSize);
+  asio::awaitable<bool> RespondWithoutEnd(uint64_t aKind);
   asio::awaitable<bool> Respond(unsigned aStatus,
                                 std::string aBody,
                                 bool aShed,
@@ -402,6 +413,9 @@
   if (faults.m_shed != 0) {
     co_return co_await Respond(503, "shed", true);
   }
+  if (faults.m_endless == kEndlessRejection) {
+    co_return co_await RespondWithoutEnd(faults.m_endless);
+  }
   if (faults.m_failStatus != 0) {
     co_return co_await Respond(
       static_cast<unsigned>(faults.m_failStatus), "failed on command", false);
@@ -433,6 +447,10 @@
   if (faults.m_closeAfterRun != 0) {
     co_return false;
   }
+  if (faults.m_endless != 0) {
+    const SlotInUse slot(m_state);
+    co_return co_await RespondWithoutEnd(faults.m_endless);
+  }
   std::string body = "target=" + ToString(m_state.m_listenEndpoint) +
                      " identity=" + identity + " path=" + path +
                      " body=" + std::to_string(aSize) + "\n";
@@ -471,6 +489,37 @@
   co_return !error && !truncate;
 }
 
+asio::awaitable<bool>
+TargetConnection::RespondWithoutEnd(uint64_t aKind)
+{
+  const std::string okHead = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string chunk = "4000\r\n" + std::string(0x4000, 'x') + "\r\n";
+  std::string bytes;
+  std::string repeated = chunk;
+  if (aKind == kEndlessInterim) {
+    repeated = "HTTP/1.1 103 Early Hints\r\n\r\n";
+  } else if (aKind == kEndlessFields) {
+    bytes = okHead;
+    repeated = "X-Field: " + std::string(500, 'x') + "\r\n";
+  } else if (aKind == kEndlessRejection) {
+    bytes = "HTTP/1.1 503 Service Unavailable\r\n" + std::string(kShedHeader) +
+            ": 1\r\n" + chunked;
+  } else {
+    bytes = okHead + chunked;
+  }
+  asio::steady_timer timer(m_stream.get_executor());
+  boost::system::error_code error;
+  while (!error) {
+    bytes += repeated;
+    co_await asio::async_write(m_stream, asio::buffer(bytes), Redirect(error));
+    bytes.clear();
+    timer.expires_after(kEndlessInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+  co_return false;
+}
+
 void
 TargetConnection::AddPlatformFields(http::fields& aFields,
                                     unsigned aStatus,
