--- a/src/upstream/gateway.cpp
+++ b/src/upstream/gateway.cpp
@@ -4,6 +4,7 @@
 #include "quarantine/quarantine.h"
 #include "retry/repeat_budget.h"
 #include "targets/target_reports.h"
+#include "upstream/placement_log.h"
 #include "upstream/target_probes.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -84,7 +85,6 @@
   asio::awaitable<void> RunLoadProbes();
   void RescheduleTick();
   void Deliver(const std::vector<QueuedCallVerdict>& aVerdicts);
-  void LogPlacement(const RequestHead& aHead, const AdmissionResult& aResult);
   asio::awaitable<void> RunTicks();
 
   UpstreamSettings m_settings;
@@ -282,7 +282,7 @@
     request.m_latencyObjective = m_clock->Now() + aHead.m_latencyObjective;
   }
   AdmissionResult result = m_admission->Offer(request, m_clock->Now());
-  LogPlacement(aHead, result);
+  LogPlacement(*m_logger, aHead, result, Load(), m_clock->Now() - m_loadTime);
   if (result.m_verdict != AdmissionVerdict::Queued) {
     co_return result;
   }
@@ -485,36 +485,6 @@
   m_changed->Notify();
 }
 
-void
-Gateway::LogPlacement(const RequestHead& aHead, const AdmissionResult& aResult)
-{
-  if (!m_logger->ShouldLogDecision()) {
-    return;
-  }
-  static constexpr std::array<std::string_view, 3> kVerdicts = { "admitted",
-                                                                 "queued",
-                                                                 "refused" };
-  const bool refused = aResult.m_verdict == AdmissionVerdict::Refused;
-  const LoadReport load = Load();
-  m_logger->Write(
-    LogLevel::Info,
-    "placement",
-    { { "id", aHead.m_requestId },
-      { "call", ToString(aHead.m_call) },
-      { "service", aHead.m_service },
-      { "verdict", kVerdicts[static_cast<size_t>(aResult.m_verdict)] },
-      { "reason", refused ? ResultRowFor(aResult.m_code).m_name : "capacity" },
-      { "priority", static_cast<uint64_t>(aHead.m_priority) },
-      { "repeat", aHead.m_repeat },
-      { "in_flight", load.m_inFlight },
-      { "limit", load.m_limit },
-      { "queued", load.m_queued },
-      { "slowness", load.m_slowness },
-      { "load_age_ms", m_clock->Now() - m_loadTime },
-      { "cold", load.m_cold },
-      { "remaining_ms", aHead.m_remaining } });
-}
-
 ResolveReply
 Gateway::Resolve(const ResolveRequest& aRequest)
 {
