--- a/tests/drills/fleet.cpp
+++ b/tests/drills/fleet.cpp
@@ -14,10 +14,13 @@
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <fcntl.h>
 #include <filesystem>
+#include <iterator>
 #include <set>
 #include <spawn.h>
+#include <sstream>
 #include <stdexcept>
 #include <sys/wait.h>
 #include <thread>
@@ -197,7 +200,7 @@
   posix_spawn_file_actions_addopen(
     &actions, 1, aLogFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, 1, 2);
-  const int failed = posix_spawn(
+  const int failed = posix_spawnp(
     &m_pid, arguments[0], &actions, nullptr, arguments.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
   if (failed != 0) {
@@ -307,10 +310,25 @@
   return text;
 }
 
+namespace {
+
+// Words of SQ_NODE_WRAPPER, a program with arguments that runs each node, for
+// example a memory checker.
+std::vector<std::string>
+NodeWrapper()
+{
+  const char* wrapper = std::getenv("SQ_NODE_WRAPPER");
+  std::istringstream text(wrapper == nullptr ? "" : wrapper);
+  return { std::istream_iterator<std::string>(text), {} };
+}
+
+} // namespace
+
 void
 Fleet::StartNode(Instance& aInstance, bool aFirst)
 {
-  std::vector<std::string> arguments = {
+  std::vector<std::string> arguments = NodeWrapper();
+  const std::vector<std::string> node = {
     BinaryPath("sassafrasquay"),
     "node",
     "--node_id=" + aInstance.m_nodeId,
@@ -323,6 +341,7 @@
     "--peer_key=drill-key-0123456789",
     "--leave_delay_ms=200",
   };
+  arguments.insert(arguments.end(), node.begin(), node.end());
   arguments.insert(arguments.end(), m_extraFlags.begin(), m_extraFlags.end());
   if (aInstance.m_peerAdvertised) {
     arguments.push_back("--peer_advertise=" +
