Leave a fifth of a cold target's slots free

Cause: in the seconds after a loss of power every target is cold, works at half speed and gets the requests that were held up, while its node has just started and has not learnt that the target slows down further when nearly full. Change: a cold target gets at most 0.8 of its slots. The unit test fails without the change.

--- a/src/admission/reported_load_admission.cpp
+++ b/src/admission/reported_load_admission.cpp
@@ -30,6 +30,10 @@
 // weigh more, so that the limit is known within a second of overload.
 constexpr double kRelativeTimeWeight = 0.05;
 constexpr double kInitialSamples = 2; // weight of the assumed value of 1
+// Share of its slots that a cold target gets. It is slow already, and some
+// targets slow down further when they are nearly full; after a loss of power
+// the node has not learnt yet whether its target does.
+constexpr double kColdSlotShare = 0.8;
 // Estimated gain in throughput that justifies a limit below the slots.
 constexpr double kMinThroughputGain = 1.07;
 // Once in this many starts, the limit is raised to the slots to measure the
@@ -99,7 +103,13 @@
   ResultCode ClosedReason() const;
   bool IsCold() const { return m_now < m_coldUntil; }
   bool IsSlow() const { return m_now < m_slowUntil; }
-  bool HasFreeSlot() const { return m_inFlight < m_limit; }
+  bool HasFreeSlot() const { return m_inFlight < ConcurrencyLimit(); }
+  uint32_t ConcurrencyLimit() const
+  {
+    const auto coldLimit = static_cast<uint32_t>(kColdSlotShare * m_slots);
+    return IsCold() ? std::clamp(coldLimit, 1U, std::max(1U, m_limit))
+                    : m_limit;
+  }
   bool CanStart() const
   {
     return HasFreeSlot() && IsWithinColdStartRate() && !IsSlow();
@@ -317,7 +327,7 @@
       work += ToSeconds(ExpectedServiceTime(other.m_class));
     }
   }
-  return FromSeconds(work / std::max(1U, m_limit));
+  return FromSeconds(work / std::max(1U, ConcurrencyLimit()));
 }
 
 bool
@@ -555,7 +565,7 @@
   report.m_inFlight = m_inFlight;
   report.m_queued = static_cast<uint32_t>(m_queue.size());
   report.m_slots = isAbsent ? 0 : m_slots;
-  report.m_limit = isAbsent ? 0 : m_limit;
+  report.m_limit = isAbsent ? 0 : ConcurrencyLimit();
   report.m_cold = IsCold();
   report.m_leaving = m_lifecycle.State() == TargetState::Leaving;
   report.m_latency = FromSeconds(m_overallMean);
--- a/tests/unit/reported_load_admission_test.cpp
+++ b/tests/unit/reported_load_admission_test.cpp
@@ -266,6 +266,23 @@
   BOOST_TEST(countAdmitted(kStart + 1s) == 8);
 }
 
+// Guards against filling a cold target while it is not known whether it slows
+// down further when nearly full, and against a limit that outlasts the cold
+// start.
+BOOST_AUTO_TEST_CASE(leaves_a_part_of_its_slots_free)
+{
+  m_admission->SetTarget(6, 1, kStart);
+  m_admission->SetColdStartRate({ 100 });
+  m_admission->SetColdStartRemaining(1s, kStart);
+  BOOST_TEST(m_admission->Report(kStart).m_limit == 4U);
+  for (int i = 0; i < 4; ++i) {
+    BOOST_CHECK(Offer() == AdmissionVerdict::Admitted);
+  }
+  BOOST_CHECK(Offer() == AdmissionVerdict::Queued);
+  BOOST_TEST(m_admission->Tick(kStart + 1s).size() == 1U);
+  BOOST_CHECK(Offer(kStart + 1s) == AdmissionVerdict::Admitted);
+}
+
 // Guards against a target that stays at its cold start rate.
 BOOST_AUTO_TEST_CASE(is_warm_when_the_reported_time_is_over)
 {
