Let the peer server announce the end of its links as before

Cause: BeginStop of the peer server marked it as stopping before its Stop sends the closing frames. A call that arrived in between would have lost its link without the frame that proves that it did not run, so that its caller would be told that it may have run. Change: only the front end has work to do in BeginStop.

--- a/src/peer/peer_server.cpp
+++ b/src/peer/peer_server.cpp
@@ -124,7 +124,6 @@
     return { "gateway" };
   }
   asio::awaitable<void> Start(Kernel& aKernel) override;
-  void BeginStop() override;
   asio::awaitable<void> Stop() override;
 
 private:
@@ -178,17 +177,12 @@
   co_return;
 }
 
-void
-PeerServerService::BeginStop()
+asio::awaitable<void>
+PeerServerService::Stop()
 {
   m_stopping = true;
   boost::system::error_code ignored;
   m_acceptor->close(ignored);
-}
-
-asio::awaitable<void>
-PeerServerService::Stop()
-{
   // A copy, because links that their peer closes are removed from the set.
   const auto idle = m_idleLinks;
   for (const auto& link : idle) {
