--- a/tests/drills/path_drill.cpp
+++ b/tests/drills/path_drill.cpp
@@ -202,7 +202,7 @@
     fleet.SetFault(fleet.At(1), "endless", aKind);
     request.m_headers["X-Identity"] = "endless-" + std::to_string(aKind);
     request.m_timeout = aTimeout;
-    const HttpResponse response = Send(fleet.At(0).m_callerEndpoint, request);
+    HttpResponse response = Send(fleet.At(0).m_callerEndpoint, request);
     fleet.SetFault(fleet.At(1), "endless", 0);
     return response;
   };
