--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -321,10 +321,8 @@
 // snapshot page, or ends the process.
 BOOST_AUTO_TEST_CASE(of_a_snapshot_page_are_used_beside_odd_ones)
 {
-  std::string nested = "null";
-  for (int level = 0; level < 20; ++level) {
-    nested = "[" + nested + "]";
-  }
+  const std::string nested =
+    std::string(20, '[') + "null" + std::string(20, ']');
   const std::string body =
     R"({"hasMore":true,"endOffset":9,"items":[)"
     R"({"key":"a","value":"e30=","offset":1},)"
