Review case 4: a left instance gets work after a node's restart

Cause: the record of a leave lives in one process; the next one defers only the first late report of an instance whose health probe fails. Change: a script; nothing in the product changes.

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,9 @@
+#!/bin/bash
+# Exit code: 1 the rule was broken, 0 it held, 2 the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+program=build/review/case4
+if [ ! -x "$program" ] || [ ! -x target/sassafrasquay ]; then
+  echo "build the deploy file's program and review/build.sh first"
+  exit 2
+fi
+exec timeout -k 2 118 "$program" review/4
