--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -82,15 +82,14 @@
       return aSocket.Write(instance.OkAnswer(aRequest, "done " + id));
     };
   }
-  fleet.m_store.Put("keyed.op",
-                    "config",
-                    ConfigText("r3",
-                               { "catalogue", "bookings" },
-                               RouteText("read", "/read/", "safe", "catalogue",
-                                         1000, 400, 2) +
-                                 "," +
-                                 RouteText("confirm", "/confirm/", "unsafe",
-                                           "bookings", 1200, 500, 1)));
+  fleet.m_store.Put(
+    "keyed.op",
+    "config",
+    ConfigText(
+      "r3",
+      { "catalogue", "bookings" },
+      RouteText("read", "/read/", "safe", "catalogue", 1000, 400, 2) + "," +
+        RouteText("confirm", "/confirm/", "unsafe", "bookings", 1200, 500, 1)));
   fleet.StartAll();
 
   // The platform: measures each node and kills one that exceeds its memory.
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -7,13 +7,15 @@
 
 namespace {
 
-constexpr double kShedShare = 0.55;   // of an instance's requests
-constexpr double kShedMs = 8500;      // length of that impairment
-constexpr double kCopyShare = 0.03;   // of an instance's answers
-constexpr double kCopyMs = 5000;      // length of that impairment
-constexpr double kPauseMs = 1500;     // between two rounds
-constexpr int kRounds = 9;
-constexpr size_t kInstancesWithCopies = 2; // of three, share 0.6
+constexpr double kShedShare = 0.55;  // of an instance's requests
+constexpr double kShedMs = 8500;     // length of that impairment
+constexpr double kCopyShare = 0.03;  // of an instance's answers
+constexpr double kCopyMs = 5000;     // length of that impairment
+constexpr double kCopyPauseMs = 200; // between two of them
+constexpr double kPauseMs = 1500;    // between two rounds
+constexpr int kRounds = 8;
+constexpr size_t kInstancesWithCopies = 1; // of two, share 0.5
+constexpr size_t kLeaver = 2;              // the third machine of the service
 constexpr double kWorkMs = 30;
 constexpr double kBudgetMs = 1200;
 constexpr int kClientsPerMachine = 14;
@@ -26,6 +28,23 @@
   std::atomic<uint64_t> m_copied{ 0 };
 };
 
+// The instance drains and leaves, as planned, and its machine is stopped.
+void
+ScaleIn(Deployment& aFleet, Machine& aMachine)
+{
+  Instance& instance = aMachine.m_instance;
+  instance.m_leaving = true; // its reports say draining from now on
+  const bool drained = instance.SendReport("draining");
+  SleepMs(3000);
+  const bool left = instance.Call("DELETE", "");
+  instance.Stop();
+  aMachine.m_node.Signal(SIGTERM);
+  if (!drained || !left || !aMachine.m_node.WaitEnd(6000)) {
+    aMachine.m_node.Kill();
+  }
+  aFleet.m_record.Say(instance.m_id + " has left, two instances serve");
+}
+
 } // namespace
 
 int
@@ -100,6 +119,7 @@
                { "catalogue", service },
                RouteText("photo", "/photo/", "unsafe", service, 1200, 500, 1)));
   fleet.StartAll();
+  ScaleIn(fleet, *fleet.m_machines[kLeaver]);
 
   std::atomic<bool> done{ false };
   std::atomic<int> sent{ 0 };
@@ -107,6 +127,9 @@
   std::map<string, int> statuses;
   std::vector<std::thread> clients;
   for (const auto& machine : fleet.m_machines) {
+    if (!machine->m_node.IsRunning()) {
+      continue;
+    }
     for (int i = 0; i < kClientsPerMachine; ++i) {
       clients.emplace_back([&, node = &machine->m_node] {
         std::unique_ptr<Socket> socket;
@@ -131,22 +154,24 @@
       });
     }
   }
-  SleepMs(6000);
+  SleepMs(5000);
   for (int round = 0; round < kRounds; ++round) {
-    size_t copies = 0;
-    for (const auto& machine : fleet.m_machines) {
-      Trouble& trouble = troubles[machine->m_instance.m_id];
-      if (machine->m_instance.m_service == service) {
-        trouble.m_sheds = withTrouble;
-        trouble.m_copies = withTrouble && copies++ < kInstancesWithCopies;
-      }
-    }
     record.Say(string("round begins, trouble ") + (withTrouble ? "on" : "off"));
-    SleepMs(kCopyMs);
+    const auto setCopies = [&](bool aOn) {
+      for (size_t i = 0; i < kInstancesWithCopies; ++i) {
+        troubles[fleet.m_machines[i]->m_instance.m_id].m_copies = aOn;
+      }
+    };
     for (auto& [id, trouble] : troubles) {
-      trouble.m_copies = false;
+      trouble.m_sheds = withTrouble;
     }
-    SleepMs(kShedMs - kCopyMs);
+    setCopies(withTrouble);
+    SleepMs(kCopyMs);
+    setCopies(false);
+    SleepMs(kCopyPauseMs);
+    setCopies(withTrouble);
+    SleepMs(kShedMs - kCopyMs - kCopyPauseMs);
+    setCopies(false);
     for (auto& [id, trouble] : troubles) {
       trouble.m_sheds = false;
     }
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -11,10 +11,10 @@
 constexpr double kBudgetMs = 1200;
 constexpr double kDrainMs = 2000;
 constexpr double kStableWindowMs = 3000;
-constexpr double kKillMs = 300;     // all times after the ack of the leave
+constexpr double kKillMs = 300; // all times after the ack of the leave
 constexpr double kRestartMs = 800;
-constexpr double kLateMs = 1500;    // the report sent 1600 ms before the leave
-constexpr double kLate2Ms = 2000;   // the report sent 100 ms before the leave
+constexpr double kLateMs = 1500;  // the report sent 1600 ms before the leave
+constexpr double kLate2Ms = 2000; // the report sent 100 ms before the leave
 constexpr double kInstanceEndsMs = 12000;
 constexpr int kRounds = 4;
 
@@ -146,9 +146,9 @@
         }
       }
     }
-    record.Say(std::to_string(late) + " requests of machines in touch reached " +
-               leaver.m_id + " later than " +
-               std::to_string(static_cast<int>(bound - ack)) +
+    record.Say(std::to_string(late) +
+               " requests of machines in touch reached " + leaver.m_id +
+               " later than " + std::to_string(static_cast<int>(bound - ack)) +
                " ms after the ack");
     broken += late;
     // The next lifetime on that machine.
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -68,8 +68,7 @@
 SleepMs(double aMs)
 {
   if (aMs > 0) {
-    std::this_thread::sleep_for(
-      std::chrono::duration<double, std::milli>(aMs));
+    std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(aMs));
   }
 }
 
@@ -332,7 +331,10 @@
 }
 
 inline bool
-ReadMessage(Socket& aSocket, Message& aMessage, double aDeadline, bool aResponse)
+ReadMessage(Socket& aSocket,
+            Message& aMessage,
+            double aDeadline,
+            bool aResponse)
 {
   return ReadHead(aSocket, aMessage, aDeadline) &&
          ReadBody(aSocket, aMessage, aDeadline, aResponse);
@@ -522,7 +524,8 @@
       while (at + 4 <= aRequest.m_body.size()) {
         size_t size = 0;
         for (int i = 0; i < 4; ++i) {
-          size = size << 8 | static_cast<unsigned char>(aRequest.m_body[at + i]);
+          size =
+            size << 8 | static_cast<unsigned char>(aRequest.m_body[at + i]);
         }
         records.push_back(aRequest.m_body.substr(at + 4, size));
         at += 4 + size;
@@ -533,7 +536,8 @@
       return 200;
     }
     if (target.starts_with("/-/log-read")) {
-      const size_t from = strtoull(Parameter(target, "from").c_str(), nullptr, 10);
+      const size_t from =
+        strtoull(Parameter(target, "from").c_str(), nullptr, 10);
       const auto wait = std::chrono::milliseconds(
         strtoull(Parameter(target, "waitMs").c_str(), nullptr, 10));
       const auto end = std::chrono::steady_clock::now() + wait;
@@ -564,8 +568,9 @@
                  "\",\"offset\":" + std::to_string(entry.first) + "}";
         first = false;
       }
-      aBody += "],\"hasMore\":false,\"endOffset\":" +
-               std::to_string(records.size()) + "}";
+      aBody +=
+        "],\"hasMore\":false,\"endOffset\":" + std::to_string(records.size()) +
+        "}";
       return 200;
     }
     return 404;
@@ -764,8 +769,8 @@
   bool Start()
   {
     using namespace std::chrono;
-    m_born =
-      duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
+    m_born = duration_cast<milliseconds>(system_clock::now().time_since_epoch())
+               .count();
     m_warmAt = Now() + m_coldMs;
     m_stop = false;
     if (!m_server.Start(m_address, [this](Socket& aS) { Serve(aS); })) {
@@ -803,23 +808,26 @@
   {
     const double cold = std::max(0.0, m_warmAt - Now());
     return "{\"address\":\"" + m_address.Text() +
-           "\",\"born\":" + std::to_string(m_born) + ",\"info\":{\"service\":\"" +
-           m_service + "\",\"version\":\"v1\",\"zone\":\"" + m_zone +
+           "\",\"born\":" + std::to_string(m_born) +
+           ",\"info\":{\"service\":\"" + m_service +
+           "\",\"version\":\"v1\",\"zone\":\"" + m_zone +
            "\",\"slots\":" + std::to_string(m_slots) +
            "},\"status\":{\"state\":\"" + aState +
            "\",\"sequence\":" + std::to_string(++m_sequence) +
            ",\"coldLeftMs\":" + std::to_string(static_cast<int>(cold)) + "}}";
   }
   // True when acknowledged.
-  bool Call(const string& aMethod, const string& aBody, double aTimeoutMs = 1000)
+  bool Call(const string& aMethod,
+            const string& aBody,
+            double aTimeoutMs = 1000)
   {
     Socket socket;
     Message answer;
     return socket.Connect(m_control, aTimeoutMs) &&
-           socket.Write(Format(aMethod + " /-/instances/" + m_id + " HTTP/1.1",
-                               { { "Host", "node" },
-                                 { "Content-Type", "application/json" } },
-                               aBody)) &&
+           socket.Write(Format(
+             aMethod + " /-/instances/" + m_id + " HTTP/1.1",
+             { { "Host", "node" }, { "Content-Type", "application/json" } },
+             aBody)) &&
            ReadMessage(socket, answer, Now() + aTimeoutMs, true) &&
            answer.Status() / 100 == 2;
   }
@@ -917,8 +925,8 @@
   string m_id;
   double m_sent = 0;
   double m_ended = 0;
-  int m_status = 0;     // 0: the connection ended without a whole answer
-  bool m_kept = false;  // sent on a connection that had been used before
+  int m_status = 0;    // 0: the connection ended without a whole answer
+  bool m_kept = false; // sent on a connection that had been used before
   bool m_timedOut = false;
   Message m_answer;
 };
@@ -960,14 +968,14 @@
     }
   }
   attempt.m_sent = Now();
-  const bool sent = aSocket->Write(Format(
-    aMethod + " " + aPath + " HTTP/1.1",
-    { { "Host", aHost },
-      { "Sassafrasquay-Attempt-Id", attempt.m_id },
-      { "Sassafrasquay-Deadline-Ms",
-        std::to_string(static_cast<int>(aBudgetMs)) } },
-    aBody,
-    aMethod != "GET"));
+  const bool sent =
+    aSocket->Write(Format(aMethod + " " + aPath + " HTTP/1.1",
+                          { { "Host", aHost },
+                            { "Sassafrasquay-Attempt-Id", attempt.m_id },
+                            { "Sassafrasquay-Deadline-Ms",
+                              std::to_string(static_cast<int>(aBudgetMs)) } },
+                          aBody,
+                          aMethod != "GET"));
   const bool whole =
     sent &&
     ReadMessage(*aSocket, attempt.m_answer, attempt.m_sent + aBudgetMs, true);
