Bound every buffer that receives HTTP

Cause: Beast limits heads and, if told so, bodies, but neither the line of a chunk header nor a trailer. The parser asks for more input, and the flat_buffer of the connection had no maximum size.

Skipped bytes are counted as received, with chunk headers. Health and cancel responses have a head and a body limit.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -25,6 +25,9 @@
 namespace {
 
 constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(100);
+// Bytes received and not parsed yet. Exceeds the parser's head limit, and ends
+// chunk headers and trailers, which the parser does not limit.
+constexpr size_t kMaxBufferBytes = 64 * 1024;
 
 using Request = http::request<http::string_body>;
 using Response = PageResponse;
@@ -159,7 +162,7 @@
 Control::Serve(tcp::socket aSocket)
 {
   beast::tcp_stream stream(std::move(aSocket));
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kMaxBufferBytes);
   boost::system::error_code error;
   bool open = true;
   while (open && !error && !m_stopping) {
--- a/src/frontend/caller_connection.cpp
+++ b/src/frontend/caller_connection.cpp
@@ -233,6 +233,7 @@
 public:
   HttpCallerConnection(tcp::socket aSocket, FrontendShared& aShared)
     : m_stream(std::move(aSocket))
+    , m_buffer(kReadChunkBytes)
     , m_shared(aShared)
   {
     boost::system::error_code ignored;
@@ -400,8 +401,13 @@
   Parser parser;
   const CallerLimits limits = m_shared.m_policy->Limits();
   const FrontendSettings& settings = m_shared.m_settings;
-  parser.header_limit(limits.m_maxHeadBytes > 0 ? limits.m_maxHeadBytes
-                                                : settings.m_maxHeadBytes);
+  const uint32_t maxHeadBytes =
+    limits.m_maxHeadBytes > 0 ? limits.m_maxHeadBytes : settings.m_maxHeadBytes;
+  parser.header_limit(maxHeadBytes);
+  // Ends chunk headers and trailers, which the parser does not limit. Grows
+  // with the published limit and never shrinks below the buffer's content.
+  m_buffer.max_size(
+    std::max<size_t>(m_buffer.max_size(), maxHeadBytes + kReadChunkBytes));
   parser.body_limit(limits.m_maxBodyBytes > 0 ? limits.m_maxBodyBytes
                                               : settings.m_maxBodyBytes);
   const bool received = co_await ReadHead(parser);
--- a/src/upstream/target_client.cpp
+++ b/src/upstream/target_client.cpp
@@ -10,6 +10,11 @@
 
 namespace {
 
+// Room in a connection's buffer beside the longest head.
+constexpr size_t kBodyBufferBytes = 32 * 1024;
+// Of a health response or the response to a cancel request.
+constexpr uint64_t kMaxSmallBodyBytes = 64 * 1024;
+
 class PooledTargetClient : public TargetClient
 {
 public:
@@ -46,6 +51,9 @@
 private:
   ConnectionPtr TakeIdle(const Endpoint& aTarget);
   asio::awaitable<ConnectionPtr> Open(const Endpoint& aTarget);
+  asio::awaitable<boost::system::error_code> ReadSmallResponse(
+    Connection& aConnection,
+    http::response<http::string_body>& aResponse) const;
 
   UpstreamSettings m_settings;
   asio::any_io_executor m_executor;
@@ -78,7 +86,8 @@
 asio::awaitable<ConnectionPtr>
 PooledTargetClient::Open(const Endpoint& aTarget)
 {
-  auto connection = std::make_unique<Connection>(m_executor);
+  auto connection = std::make_unique<Connection>(
+    m_executor, m_settings.m_maxHeadBytes + kBodyBufferBytes);
   boost::system::error_code error;
   const auto address = asio::ip::make_address(aTarget.m_address, error);
   if (error) {
@@ -94,6 +103,24 @@
   co_return connection;
 }
 
+// Reads a response whose content is not forwarded to a caller.
+asio::awaitable<boost::system::error_code>
+PooledTargetClient::ReadSmallResponse(
+  Connection& aConnection,
+  http::response<http::string_body>& aResponse) const
+{
+  http::response_parser<http::string_body> parser;
+  parser.header_limit(m_settings.m_maxHeadBytes);
+  parser.body_limit(kMaxSmallBodyBytes);
+  boost::system::error_code error;
+  co_await http::async_read(
+    aConnection.m_stream, aConnection.m_buffer, parser, Redirect(error));
+  if (!error) {
+    aResponse = parser.release();
+  }
+  co_return error;
+}
+
 asio::awaitable<TargetResult>
 PooledTargetClient::Send(const TargetAnnouncement& aTarget,
                          const RequestHead& aHead,
@@ -163,8 +190,7 @@
   co_await http::async_write(connection->m_stream, request, Redirect(error));
   http::response<http::string_body> response;
   if (!error) {
-    co_await http::async_read(
-      connection->m_stream, connection->m_buffer, response, Redirect(error));
+    error = co_await ReadSmallResponse(*connection, response);
   }
 }
 
@@ -188,8 +214,7 @@
   co_await http::async_write(connection->m_stream, request, Redirect(error));
   http::response<http::string_body> response;
   if (!error) {
-    co_await http::async_read(
-      connection->m_stream, connection->m_buffer, response, Redirect(error));
+    error = co_await ReadSmallResponse(*connection, response);
   }
   if (error) {
     co_return std::nullopt;
--- a/src/upstream/target_request.cpp
+++ b/src/upstream/target_request.cpp
@@ -19,8 +19,8 @@
 constexpr int kMaxStaleResponses = 4;
 constexpr int kMaxInterimResponses = 32; // 1xx heads before a response
 // Bytes read only to keep a connection usable: bodies of rejections and stale
-// responses, and the rest of a response whose caller has disconnected. A target
-// may send without end.
+// responses, and the rest of a response whose caller has disconnected. Includes
+// chunk headers and trailers. A target may send without end.
 constexpr size_t kMaxDiscardedBytes = 256 * 1024;
 // A target may close an idle connection at any moment after its advertised
 // keep-alive timeout. The margin keeps a request from racing with that close.
@@ -159,12 +159,12 @@
     body.data = bytes.data();
     body.size = bytes.size();
     body.more = true;
-    co_await http::async_read_some(
+    const size_t parsed = co_await http::async_read_some(
       m_connection.m_stream, m_connection.m_buffer, *m_parser, Redirect(error));
     if (error && error != http::error::need_buffer) {
       co_return error;
     }
-    discarded += bytes.size() - body.size;
+    discarded += parsed;
   }
   co_return boost::system::error_code();
 }
@@ -337,15 +337,16 @@
   size_t discarded = 0; // after the sink has failed
   while (true) {
     boost::system::error_code error;
+    size_t parsed = 0;
     size_t count = 0;
     if (!m_parser->is_done()) {
       body.data = bytes.data();
       body.size = bytes.size();
       body.more = true;
-      co_await http::async_read_some(m_connection.m_stream,
-                                     m_connection.m_buffer,
-                                     *m_parser,
-                                     Redirect(error));
+      parsed = co_await http::async_read_some(m_connection.m_stream,
+                                              m_connection.m_buffer,
+                                              *m_parser,
+                                              Redirect(error));
       if (error && error != http::error::need_buffer) {
         co_return false;
       }
@@ -360,7 +361,7 @@
     if (last) {
       co_return true;
     }
-    discarded += m_sinkFailed ? count : 0;
+    discarded += m_sinkFailed ? parsed : 0;
     if (m_sinkFailed && (!m_readToEnd || discarded > kMaxDiscardedBytes)) {
       co_return false;
     }
--- a/src/upstream/target_request.h
+++ b/src/upstream/target_request.h
@@ -27,11 +27,14 @@
 struct Connection
 {
   beast::tcp_stream m_stream;
-  beast::flat_buffer m_buffer;
-  TimePoint m_idleDeadline; // an idle connection is not reused after this
+  beast::flat_buffer m_buffer; // bytes received and not parsed yet
+  TimePoint m_idleDeadline;    // an idle connection is not reused after this
 
-  explicit Connection(const asio::any_io_executor& aExecutor)
+  // A target may send a head, a chunk header or a trailer without end. Beast
+  // limits only heads; the rest ends with buffer_overflow at aMaxBufferBytes.
+  Connection(const asio::any_io_executor& aExecutor, size_t aMaxBufferBytes)
     : m_stream(aExecutor)
+    , m_buffer(aMaxBufferBytes)
   {
   }
 
--- a/tests/drills/path_drill.cpp
+++ b/tests/drills/path_drill.cpp
@@ -136,6 +136,29 @@
   BOOST_TEST(noHost.find("Sassafrasquay-Result: 101") != std::string::npos);
 }
 
+// Guards against a chunk extension or a trailer that fills the node's memory. A
+// node that keeps it until its end serves these requests.
+BOOST_AUTO_TEST_CASE(a_long_chunk_header_or_trailer_is_not_kept)
+{
+  const Instance& instance = SharedFleet().At(0);
+  const std::string filler(1024 * 1024, 'x');
+  const auto post = [](const std::string& aPath, const std::string& aBody) {
+    std::string request = "POST " + aPath + " HTTP/1.1\r\nHost: catalogue\r\n";
+    request += "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+    return request + aBody;
+  };
+  for (const std::string& body :
+       { "2;" + filler + "\r\n{}\r\n0\r\n\r\n",
+         "2\r\n{}\r\n0\r\nX-Field: " + filler + "\r\n\r\n" }) {
+    const std::string response =
+      SendRaw(instance.m_callerEndpoint, post("/", body));
+    BOOST_TEST(response.find("Sassafrasquay-Result: 101") != std::string::npos);
+    const std::string reply =
+      SendRaw(instance.m_controlEndpoint, post("/v1/log", body));
+    BOOST_TEST(reply.find("200") == std::string::npos);
+  }
+}
+
 // Guards against a slow sender that keeps a connection open without limit.
 BOOST_AUTO_TEST_CASE(a_slow_request_head_ends_the_connection)
 {
