Never carry a request twice on one connection to a target

Cause: a response is matched by the attempt id, which all attempts of a request share, and a connection was kept after a rejection. When the request came back to that target on that connection, the copy of its earlier rejection was taken for the response to the attempt that the target was running.

Change: a connection remembers the ids that it has carried, whatever their outcome, and carries none of them again (CarriedRequests in idempotency). On the platform a response without the request's id promises nothing. The project's own dialect now reads the id of a response; a rejection without one ends its connection.

--- a/src/dialect/dialect.cpp
+++ b/src/dialect/dialect.cpp
@@ -78,13 +78,24 @@
     }
   }
 
-  ResponseInfo ParseResponse(const RequestHead& /*aHead*/,
+  std::string ResponseId(const RequestHead& aHead) const override
+  {
+    return ToString(aHead.m_call);
+  }
+
+  ResponseInfo ParseResponse(const RequestHead& aHead,
                              const ResponseHead& aResponse) const override
   {
     ResponseInfo info;
     const bool shed =
       aResponse.m_status == 503 && FindHeader(aResponse.m_headers, kShedHeader);
-    info.m_kind = shed ? ResponseKind::NotExecuted : ResponseKind::Matching;
+    const auto id = FindHeader(aResponse.m_headers, kRequestIdHeader);
+    info.m_hasRequestId = id.has_value();
+    if (id && *id != ResponseId(aHead)) {
+      info.m_kind = ResponseKind::Stale;
+    } else if (shed) {
+      info.m_kind = ResponseKind::NotExecuted;
+    }
     return info;
   }
 
--- a/src/dialect/dialect.h
+++ b/src/dialect/dialect.h
@@ -63,6 +63,7 @@
 struct ResponseInfo
 {
   ResponseKind m_kind = ResponseKind::Matching;
+  bool m_hasRequestId = false; // it repeats the id of its request
   std::optional<TargetLoad> m_load;
 };
 
@@ -84,6 +85,9 @@
                                  const std::string& aTargetId,
                                  Duration aRemaining,
                                  std::vector<HeaderField>& aFields) const = 0;
+  // The id that a target repeats in its responses to this request. Empty when
+  // the request has none.
+  virtual std::string ResponseId(const RequestHead& aHead) const = 0;
   virtual ResponseInfo ParseResponse(const RequestHead& aHead,
                                      const ResponseHead& aResponse) const = 0;
   virtual HealthReport ParseHealth(const ResponseHead& aResponse) const = 0;
--- a/src/idempotency/idempotency.h
+++ b/src/idempotency/idempotency.h
@@ -8,6 +8,7 @@
 //   [1] Node instances
 //   [2] Limits
 //   [3] Call ledger at the target's node
+//   [4] Requests that a connection has carried
 #pragma once
 
 #include "core/core.h"
@@ -165,4 +166,29 @@
 std::unique_ptr<CallLedger>
 MakeCallLedger(NodeInstance aSelf, IdempotencyLimits aLimits);
 
+//-----------------------------------------------------------------------------
+// [4] Requests that a connection has carried
+//-----------------------------------------------------------------------------
+
+// Ids of the requests sent on one connection to a target. A target may send a
+// second copy of a response at any later time, and the copy has the same id.
+// So a request that is sent again needs a connection that has not carried it:
+// there the copy of a rejection would be taken for the response to a request
+// that the target runs.
+class CarriedRequests
+{
+public:
+  // aId: as the target repeats it in its responses; empty: it repeats none.
+  void Add(std::string_view aId);
+  bool MayCarry(std::string_view aId) const;
+  // True when the connection must carry no further request: another id would
+  // not be remembered, or a response without an id may follow.
+  bool IsFull() const { return m_full; }
+
+private:
+  // Hashes; two ids with the same hash only cause a further connection.
+  std::vector<uint64_t> m_ids;
+  bool m_full = false;
+};
+
 } // namespace sassafrasquay
--- a/src/upstream/target_client.cpp
+++ b/src/upstream/target_client.cpp
@@ -49,7 +49,8 @@
   void CloseIdle() override { m_idle.clear(); }
 
 private:
-  ConnectionPtr TakeIdle(const Endpoint& aTarget);
+  ConnectionPtr TakeIdle(const Endpoint& aTarget,
+                         const std::string& aResponseId);
   asio::awaitable<ConnectionPtr> Open(const Endpoint& aTarget);
   asio::awaitable<boost::system::error_code> ReadSmallResponse(
     Connection& aConnection,
@@ -65,17 +66,22 @@
   ConnectionPtr m_probeConnection; // idle between two probes
 };
 
+// Returns a usable connection that has not carried the request, or null.
 ConnectionPtr
-PooledTargetClient::TakeIdle(const Endpoint& aTarget)
+PooledTargetClient::TakeIdle(const Endpoint& aTarget,
+                             const std::string& aResponseId)
 {
   if (m_idleTarget != aTarget) {
     m_idle.clear();
     m_idleTarget = aTarget;
   }
   const TimePoint now = m_clock->Now();
-  while (!m_idle.empty()) {
-    ConnectionPtr connection = std::move(m_idle.back());
-    m_idle.pop_back();
+  for (size_t i = m_idle.size(); i > 0; --i) {
+    if (!m_idle[i - 1]->m_carried.MayCarry(aResponseId)) {
+      continue;
+    }
+    ConnectionPtr connection = std::move(m_idle[i - 1]);
+    m_idle.erase(m_idle.begin() + static_cast<ptrdiff_t>(i - 1));
     if (now < connection->m_idleDeadline && connection->IsUsable()) {
       return connection;
     }
@@ -132,7 +138,7 @@
 {
   const Endpoint address = aTarget.m_address;
   const std::string id = aTarget.m_id;
-  ConnectionPtr connection = TakeIdle(address);
+  ConnectionPtr connection = TakeIdle(address, m_dialect->ResponseId(aHead));
   if (!connection) {
     connection = co_await Open(address);
   }
@@ -159,7 +165,8 @@
                         aReadToEnd,
                         aOnResponseStart);
   result = co_await request.Run(id, remaining);
-  const bool reusable = request.CanReuse() && m_idleTarget == address &&
+  const bool reusable = request.CanReuse() && !connection->m_carried.IsFull() &&
+                        m_idleTarget == address &&
                         m_idle.size() < m_settings.m_maxIdleConnections;
   if (reusable) {
     const Duration idle =
--- a/src/upstream/target_request.cpp
+++ b/src/upstream/target_request.cpp
@@ -192,6 +192,7 @@
 TargetRequest::Run(const std::string& aTargetId, Duration aRemaining)
 {
   using namespace asio::experimental::awaitable_operators;
+  m_connection.m_carried.Add(m_dialect.ResponseId(m_head));
   BuildRequest(aTargetId, aRemaining);
   m_connection.m_stream.expires_after(aRemaining);
   m_bodyEnd = m_clock.Now() + aRemaining + m_settings.m_responseOverrun;
@@ -273,7 +274,8 @@
       break;
     case ResponseKind::NotExecuted: {
       const boost::system::error_code error = co_await SkipBody();
-      m_reusable = !error && m_parser->keep_alive();
+      // A second copy without an id would reject the next request as well.
+      m_reusable = !error && m_parser->keep_alive() && m_info.m_hasRequestId;
       co_return FinishNotExecuted(ResultCode::TargetShed);
     }
     case ResponseKind::WrongTarget:
--- a/src/upstream/target_request.h
+++ b/src/upstream/target_request.h
@@ -29,6 +29,7 @@
   beast::tcp_stream m_stream;
   beast::flat_buffer m_buffer; // bytes received and not parsed yet
   TimePoint m_idleDeadline;    // an idle connection is not reused after this
+  CarriedRequests m_carried;
 
   // A target may send a head, a chunk header or a trailer without end. Beast
   // limits only heads; the rest ends with buffer_overflow at aMaxBufferBytes.
--- a/tests/unit/idempotency_test.cpp
+++ b/tests/unit/idempotency_test.cpp
@@ -138,4 +138,42 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_connection_to_a_target)
+
+// Guards against a request that meets the late copy of its own rejection.
+BOOST_AUTO_TEST_CASE(carries_each_request_once)
+{
+  CarriedRequests carried;
+  BOOST_TEST(carried.MayCarry("a"));
+  carried.Add("a");
+  carried.Add("b");
+  BOOST_TEST(!carried.MayCarry("a"));
+  BOOST_TEST(!carried.MayCarry("b"));
+  BOOST_TEST(carried.MayCarry("c"));
+}
+
+// Guards against ids that are forgotten, or remembered without a bound, on a
+// connection that lives long.
+BOOST_AUTO_TEST_CASE(is_full_before_it_forgets_a_request)
+{
+  CarriedRequests carried;
+  size_t count = 0;
+  while (!carried.IsFull() && count < 10000) {
+    carried.Add(std::to_string(count++));
+  }
+  BOOST_TEST(carried.IsFull());
+  BOOST_TEST(!carried.MayCarry("0"));
+  BOOST_TEST(!carried.MayCarry("new"));
+}
+
+// Guards against a further request after one whose copy nothing identifies.
+BOOST_AUTO_TEST_CASE(is_full_after_a_request_without_an_id)
+{
+  CarriedRequests carried;
+  carried.Add("");
+  BOOST_TEST(carried.IsFull());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tools/standin_target.cpp
+++ b/tools/standin_target.cpp
@@ -78,7 +78,7 @@
   uint64_t m_truncate = 0;  // truncate=1: sends half of the body, then closes
   uint64_t m_crashPath = 0; // crash_path=1: exits on a path with "crash"
   uint64_t m_paddingBytes = 0;  // answer_bytes: padding of the response
-  uint64_t m_extraResponse = 0; // extra=1: responds twice; needs attempt id
+  uint64_t m_extraResponse = 0; // extra=1: responds twice; needs a request id
   uint64_t m_reportedSlowness = 100; // slowness: value in the load header
   uint64_t m_suppressReports = 0;    // mute_reports=1: sends no status reports
   uint64_t m_healthDelayMs = 0;      // health_ms: delay of the health response
@@ -338,6 +338,7 @@
   State& m_state;
   bool m_truncateResponse = false; // for the current request
   std::string m_attemptId;         // of the current request; platform only
+  std::string m_requestId;         // likewise; only without the platform
 };
 
 asio::awaitable<bool>
@@ -406,6 +407,7 @@
   ++m_state.m_requests;
   m_state.m_lastDeadline = std::string(aRequest[kDeadlineMsHeader]);
   m_attemptId = std::string(aRequest[kAttemptIdHeader]);
+  m_requestId = std::string(aRequest[kRequestIdHeader]);
   const std::string expected(aRequest[kExpectInstanceHeader]);
   if (!expected.empty() && expected != FLAGS_id) {
     co_return co_await Respond(421, "another instance", false);
@@ -473,6 +475,8 @@
   }
   if (FLAGS_platform) {
     AddPlatformFields(response, aStatus, aShed);
+  } else if (!m_requestId.empty()) {
+    response.set(kRequestIdHeader, m_requestId);
   }
   response.body() = std::move(aBody);
   response.prepare_payload();
@@ -483,7 +487,8 @@
   }
   boost::system::error_code error;
   co_await http::async_write(m_stream, response, Redirect(error));
-  if (m_state.m_faults.m_extraResponse != 0 && !m_attemptId.empty()) {
+  const bool identified = !m_attemptId.empty() || !m_requestId.empty();
+  if (m_state.m_faults.m_extraResponse != 0 && identified) {
     co_await http::async_write(m_stream, response, Redirect(error));
   }
   co_return !error && !truncate;
