Read the configuration at once after each compaction

Cause: the backoff and the flag for a lost history were reset by a successful watch only. Between compactions no watch succeeds: it waits and is cut, and the change comes with the full read. Each compaction doubled the backoff, and the 410 was followed by a second one.

Change: FetchSchedule in routes decides the next request and the pause before it. Any success resets the pause after failures; a lost history is read at once unless a read has just succeeded. SeedDiscovery resets its backoff likewise.

--- a/src/node/config_watcher.cpp
+++ b/src/node/config_watcher.cpp
@@ -11,7 +11,6 @@
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <utility>
 
 namespace sassafrasquay {
 
@@ -22,6 +21,16 @@
 // newer one arrive several times a second, and each can start a query.
 constexpr Duration kPeerQueryPause = std::chrono::milliseconds(200);
 
+FetchOutcome
+OutcomeOf(const std::error_code& aError)
+{
+  if (!aError) {
+    return FetchOutcome::Ok;
+  }
+  return aError == ResultCode::LogHistoryGone ? FetchOutcome::HistoryGone
+                                              : FetchOutcome::Failed;
+}
+
 class ConfigWatcher
   : public Service
   , public GossipListener
@@ -29,7 +38,7 @@
 public:
   explicit ConfigWatcher(ConfigWatcherSettings aSettings)
     : m_settings(aSettings)
-    , m_backoff(aSettings.m_initialBackoff)
+    , m_schedule(aSettings.m_initialBackoff, aSettings.m_maxBackoff)
   {
   }
 
@@ -57,11 +66,9 @@
   MetricCounter* m_unusableRecords = nullptr;
   std::unique_ptr<Event> m_ended;
   asio::cancellation_signal m_cancel;
-  Duration m_backoff;
-  PublishedConfig m_base;        // starting point of the next watch
-  bool m_needsFullRead = true;   // a watch from m_base is impossible
-  bool m_historyWasGone = false; // since the last successful watch
-  bool m_storeReachable = true;  // at the last request
+  FetchSchedule m_schedule;
+  PublishedConfig m_base;       // starting point of the next watch
+  bool m_storeReachable = true; // at the last request
   bool m_queryingPeer = false;
   bool m_stopping = false;
   size_t m_running = 0; // coroutines
@@ -108,26 +115,12 @@
 ConfigWatcher::WatchStore()
 {
   while (!m_stopping) {
-    const bool isWatch = !m_needsFullRead;
     const std::error_code error = co_await FetchFromStore();
     LogStoreReachability(error);
-    if (!error) {
-      if (isWatch) {
-        m_backoff = m_settings.m_initialBackoff;
-        m_historyWasGone = false;
-      }
-      continue;
-    }
-    if (error == ResultCode::LogHistoryGone) {
-      m_needsFullRead = true;
-      // Without a successful watch in between, the store's log ends before the
-      // configuration in force, and every watch fails at once.
-      if (!std::exchange(m_historyWasGone, true)) {
-        continue;
-      }
+    const Duration pause = m_schedule.OnOutcome(OutcomeOf(error));
+    if (pause > Duration::zero()) {
+      co_await m_ended->WaitFor(pause);
     }
-    co_await m_ended->WaitFor(m_backoff);
-    m_backoff = std::min(2 * m_backoff, m_settings.m_maxBackoff);
   }
 }
 
@@ -140,7 +133,7 @@
     m_base = *active;
   }
   ConfigFeedResult result;
-  if (m_needsFullRead) {
+  if (m_schedule.Next() == FetchKind::Read) {
     result = co_await m_feed->Read(m_settings.m_timeout);
   } else {
     PublishedConfig base = m_base;
@@ -157,7 +150,6 @@
                     { { "count", result.m_unusable },
                       { "position", result.m_state.m_position } });
   }
-  m_needsFullRead = false;
   m_base = result.m_state;
   m_policy->Offer(std::move(result.m_state), "store");
   m_gossip->SetConfigVersion(m_policy->ConfigVersion());
--- a/src/node/seed_discovery.cpp
+++ b/src/node/seed_discovery.cpp
@@ -137,6 +137,7 @@
                            listed.m_nodes.end(),
                            m_settings.m_self) != listed.m_nodes.end();
     m_gossip->AddSeeds(listed.m_nodes);
+    m_backoff = m_settings.m_initialBackoff;
   }
   co_return !listed.m_error;
 }
--- a/src/routes/routes.h
+++ b/src/routes/routes.h
@@ -9,6 +9,7 @@
 //   [2] Matching and weighted choice
 //   [3] Published configuration
 //   [4] ActiveConfig: the configuration in force
+//   [5] FetchSchedule: when the published configuration is requested
 #pragma once
 
 #include "core/core.h"
@@ -169,4 +170,49 @@
   std::string m_rejectReason;
 };
 
+//-----------------------------------------------------------------------------
+// [5] FetchSchedule
+//-----------------------------------------------------------------------------
+
+enum class FetchKind : uint8_t
+{
+  Read, // the whole configuration
+  Watch // waits for the next change of the configuration that was read
+};
+
+enum class FetchOutcome : uint8_t
+{
+  Ok,
+  HistoryGone, // a watch only: the changes to wait for have been deleted
+  Failed
+};
+
+// Decides what to request next from the log of the published configuration, and
+// after which pause.
+class FetchSchedule
+{
+public:
+  FetchSchedule(Duration aInitialBackoff, Duration aMaxBackoff)
+    : m_initialBackoff(aInitialBackoff)
+    , m_maxBackoff(aMaxBackoff)
+    , m_failureBackoff(aInitialBackoff)
+    , m_rereadBackoff(aInitialBackoff)
+  {
+  }
+
+  FetchKind Next() const { return m_next; }
+  // Records the outcome of that request. Returns the pause before the next one.
+  Duration OnOutcome(FetchOutcome aOutcome);
+
+private:
+  Duration Pause(Duration& aBackoff) const;
+
+  Duration m_initialBackoff;
+  Duration m_maxBackoff;
+  FetchKind m_next = FetchKind::Read;
+  Duration m_failureBackoff; // doubles until any request succeeds
+  Duration m_rereadBackoff;  // doubles while each read is in vain
+  bool m_justRead = false;   // the last request was a read that succeeded
+};
+
 } // namespace sassafrasquay
--- a/tests/unit/routes_test.cpp
+++ b/tests/unit/routes_test.cpp
@@ -137,4 +137,70 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(the_log_of_the_configuration)
+
+namespace {
+
+struct ScheduleFixture
+{
+  static constexpr Duration kInitial = std::chrono::milliseconds(250);
+  static constexpr Duration kMax = std::chrono::seconds(2);
+  FetchSchedule m_schedule{ kInitial, kMax };
+
+  Duration After(FetchOutcome aOutcome)
+  {
+    return m_schedule.OnOutcome(aOutcome);
+  }
+};
+
+} // namespace
+
+// Guards against routes that stay stale because each compaction adds to the
+// pause before the next read. A watch that a compaction cuts never succeeds.
+BOOST_FIXTURE_TEST_CASE(is_compacted_again_and_again, ScheduleFixture)
+{
+  BOOST_TEST((After(FetchOutcome::Ok) == Duration::zero()));
+  for (int compaction = 0; compaction < 5; ++compaction) {
+    BOOST_CHECK(m_schedule.Next() == FetchKind::Watch);
+    BOOST_TEST((After(FetchOutcome::Failed) == kInitial)); // cut
+    BOOST_CHECK(m_schedule.Next() == FetchKind::Watch);
+    BOOST_TEST((After(FetchOutcome::HistoryGone) == Duration::zero()));
+    BOOST_CHECK(m_schedule.Next() == FetchKind::Read);
+    BOOST_TEST((After(FetchOutcome::Ok) == Duration::zero()));
+  }
+}
+
+// Guards against reads without a pause while the log ends before the
+// configuration in force, and against a pause that outlasts that state.
+BOOST_FIXTURE_TEST_CASE(ends_before_the_configuration_in_force, ScheduleFixture)
+{
+  Duration expected = kInitial;
+  for (int i = 0; i < 6; ++i) {
+    BOOST_TEST((After(FetchOutcome::Ok) == Duration::zero()));
+    BOOST_TEST((After(FetchOutcome::HistoryGone) == expected));
+    BOOST_CHECK(m_schedule.Next() == FetchKind::Read);
+    expected = std::min(2 * expected, kMax);
+  }
+  After(FetchOutcome::Ok);
+  After(FetchOutcome::Ok); // a watch
+  BOOST_TEST((After(FetchOutcome::HistoryGone) == Duration::zero()));
+}
+
+// Guards against requests without a pause to a log that does not respond, and
+// against a full read where the watch can go on.
+BOOST_FIXTURE_TEST_CASE(does_not_respond_for_a_while, ScheduleFixture)
+{
+  After(FetchOutcome::Ok);
+  Duration expected = kInitial;
+  for (int i = 0; i < 6; ++i) {
+    BOOST_TEST((After(FetchOutcome::Failed) == expected));
+    expected = std::min(2 * expected, kMax);
+  }
+  BOOST_CHECK(m_schedule.Next() == FetchKind::Watch);
+  After(FetchOutcome::Ok);
+  BOOST_TEST((After(FetchOutcome::Failed) == kInitial));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
