Wait for proof before a restarted node announces its target

Cause: a leave is recorded in the memory of one process. The next one ignored the first report of a target whose health check failed and took the second for a running target's; before the first health check it took any report.

Change: AnnouncementPolicy accepts a report while no target is announced when the target has started after the node, has passed its last health check, or the node has run for longer than a report can be delayed (10 s). Otherwise the report is kept until a health check passes. Health is checked for that time. A healthy target without a load in its response no longer counts as unhealthy.

The test and_an_unhealthy_target_has_to_report_twice described the fault as a rule.

--- a/src/targets/target_reports.cpp
+++ b/src/targets/target_reports.cpp
@@ -62,13 +62,12 @@
 }
 
 bool
-AnnouncementPolicy::ReportMayAnnounce(std::string_view aId)
+AnnouncementPolicy::ReportMayAnnounce(std::string_view aId,
+                                      WallTime aProcessStart,
+                                      TimePoint aNow) const
 {
-  if (aId.empty() || aId != m_unhealthyId || aId == m_deferredId) {
-    return true;
-  }
-  m_deferredId = aId;
-  return false;
+  return aNow >= m_lateReportsEnd || aProcessStart > m_nodeStart ||
+         (!aId.empty() && aId == m_healthyId);
 }
 
 } // namespace sassafrasquay
--- a/src/targets/target_reports.h
+++ b/src/targets/target_reports.h
@@ -82,31 +82,48 @@
 //-----------------------------------------------------------------------------
 
 // Decides whether a target that is not announced may be announced. After a
-// restart, a node has no record of the leaves that it acknowledged before.
+// restart, a node has no record of the leaves that it acknowledged before, and
+// reports from before such a leave may still arrive.
 class AnnouncementPolicy
 {
 public:
+  // aNow, aWallNow: start of the node. aMaxReportDelay: a report arrives at
+  // most this long after it was sent; zero: every report may announce its
+  // target.
+  AnnouncementPolicy(TimePoint aNow,
+                     WallTime aWallNow,
+                     Duration aMaxReportDelay)
+    : m_lateReportsEnd(aNow + aMaxReportDelay)
+    , m_nodeStart(aWallNow)
+  {
+  }
+
   // The target must get no new work.
   void OnLeave(std::string_view aId) { m_drainedId = aId; }
-  // Result of a health check of a target that is not announced.
+  // Result of the last health check of a target that is not announced. A target
+  // that has left fails it.
   void OnHealth(std::string_view aId, bool aHealthy)
   {
-    m_unhealthyId = aHealthy ? "" : aId;
+    m_healthyId = aHealthy ? aId : "";
   }
 
   bool HealthMayAnnounce(std::string_view aId) const
   {
     return aId != m_drainedId;
   }
-  // False for the first report of a target whose health check failed: it may be
-  // late, sent before a leave. A running target reports again, and its next
-  // report may announce it.
-  bool ReportMayAnnounce(std::string_view aId);
+  // True when the report proves that this node has not acknowledged the
+  // target's leave before its own start: the target has started since, it has
+  // passed its last health check, or the report was sent since. So a target
+  // whose health check wrongly fails waits until late reports have arrived.
+  bool ReportMayAnnounce(std::string_view aId,
+                         WallTime aProcessStart,
+                         TimePoint aNow) const;
 
 private:
+  TimePoint m_lateReportsEnd; // reports were sent after the node's start
+  WallTime m_nodeStart;
   std::string m_drainedId;
-  std::string m_unhealthyId;
-  std::string m_deferredId; // its first report was ignored
+  std::string m_healthyId;
 };
 
 } // namespace sassafrasquay
--- a/src/upstream/gateway.cpp
+++ b/src/upstream/gateway.cpp
@@ -81,6 +81,7 @@
   void RecordCrash();
   void ApplyLoad(const std::optional<TargetLoad>& aLoad);
   asio::awaitable<void> DiscoverTarget();
+  void OnDiscovered(const DiscoveredTarget& aFound);
   asio::awaitable<void> RefreshLoad();
   asio::awaitable<void> RunLoadProbes();
   void RescheduleTick();
@@ -99,7 +100,8 @@
   std::unique_ptr<TargetClient> m_client;
   std::unique_ptr<TargetProbes> m_probes;
   std::optional<TargetAnnouncement> m_target;
-  AnnouncementPolicy m_announcementPolicy;
+  std::optional<AnnouncementPolicy> m_announcementPolicy;
+  std::optional<TargetAnnouncement> m_deferred; // until its health probe passes
   std::unordered_map<CallId, QueuedCall*> m_queuedCalls;
   std::unordered_map<CallId, RequestIdentity> m_runningCalls;
   TimePoint m_nextWakeUp = TimePoint::max(); // of the tick coroutine
@@ -194,12 +196,17 @@
                               m_executor,
                               m_clock,
                               aKernel.Find<TargetDialect>("target_dialect"));
+  const bool probesHealth = !m_settings.m_expectedService.empty();
+  m_announcementPolicy.emplace(m_clock->Now(),
+                               m_clock->WallNow(),
+                               probesHealth ? m_settings.m_maxReportDelay
+                                            : Duration::zero());
   m_changed = std::make_unique<Event>(m_executor);
   m_queueChanged = std::make_unique<Event>(m_executor);
   asio::co_spawn(m_executor, RunTicks(), asio::detached);
   m_probes =
     std::make_unique<TargetProbes>(m_settings, m_executor, m_clock, *m_client);
-  if (!m_settings.m_expectedService.empty()) {
+  if (probesHealth) {
     asio::co_spawn(m_executor, DiscoverTarget(), asio::detached);
   }
   if (m_settings.m_loadMaxAge > Duration::zero()) {
@@ -514,11 +521,15 @@
   if (m_target == aTarget) {
     return {};
   }
-  if (!m_target && !m_announcementPolicy.ReportMayAnnounce(aTarget.m_id)) {
-    m_logger->Write(
-      LogLevel::Info, "target_doubted", { { "target", aTarget.m_id } });
+  if (!m_target && !m_announcementPolicy->ReportMayAnnounce(
+                     aTarget.m_id, aTarget.m_processStart, m_clock->Now())) {
+    m_logger->Write(LogLevel::Info,
+                    "target_announcement_deferred",
+                    { { "target", aTarget.m_id } });
+    m_deferred = aTarget;
     return {};
   }
+  m_deferred.reset();
   const bool sameTarget = m_target && m_target->m_id == aTarget.m_id &&
                           m_target->m_incarnation == kUnknownIncarnation;
   m_target = aTarget;
@@ -541,7 +552,10 @@
 Gateway::Drain(std::string_view aTargetId)
 {
   if (!aTargetId.empty()) {
-    m_announcementPolicy.OnLeave(aTargetId);
+    m_announcementPolicy->OnLeave(aTargetId);
+  }
+  if (m_deferred && (aTargetId.empty() || m_deferred->m_id == aTargetId)) {
+    m_deferred.reset();
   }
   if (!m_target || (!aTargetId.empty() && m_target->m_id != aTargetId)) {
     return;
@@ -605,29 +619,43 @@
   RescheduleTick();
 }
 
-// Probes the expected target after the node's start.
+// Probes the expected target after the node's start, while it is not announced.
 asio::awaitable<void>
 Gateway::DiscoverTarget()
 {
   asio::steady_timer timer(m_executor);
-  const TimePoint end = m_clock->Now() + m_settings.m_discoveryTimeout;
-  while (!m_stopping && !m_target && m_clock->Now() < end) {
-    const std::optional<DiscoveredTarget> found =
-      co_await m_probes->ProbeExpectedTarget();
-    if (found && !m_target) {
-      m_announcementPolicy.OnHealth(found->m_target.m_id, found->m_healthy);
-    }
-    if (found && found->m_healthy && !m_target &&
-        m_announcementPolicy.HealthMayAnnounce(found->m_target.m_id)) {
-      Announce(found->m_target);
-      SetColdRemaining(found->m_coldStartRemaining);
-      ApplyLoad(found->m_load);
+  const TimePoint end = m_clock->Now() + m_settings.m_maxReportDelay;
+  while (!m_stopping && m_clock->Now() < end) {
+    if (!m_target) {
+      const std::optional<DiscoveredTarget> found =
+        co_await m_probes->ProbeExpectedTarget();
+      if (found && !m_target) {
+        OnDiscovered(*found);
+      }
     }
     timer.expires_after(m_settings.m_discoveryInterval);
     co_await timer.async_wait(asio::use_awaitable);
   }
 }
 
+void
+Gateway::OnDiscovered(const DiscoveredTarget& aFound)
+{
+  const std::string& id = aFound.m_target.m_id;
+  m_announcementPolicy->OnHealth(id, aFound.m_healthy);
+  if (!aFound.m_healthy || !m_announcementPolicy->HealthMayAnnounce(id)) {
+    return;
+  }
+  if (m_deferred && m_deferred->m_id == id) {
+    const TargetAnnouncement reported = *m_deferred;
+    Announce(reported);
+  } else if (aFound.m_load) {
+    Announce(aFound.m_target);
+    SetColdRemaining(aFound.m_coldStartRemaining);
+  }
+  ApplyLoad(aFound.m_load);
+}
+
 // Probes the load of the target when the last report is too old.
 asio::awaitable<void>
 Gateway::RefreshLoad()
--- a/src/upstream/target_probes.cpp
+++ b/src/upstream/target_probes.cpp
@@ -99,9 +99,9 @@
     co_return std::nullopt;
   }
   DiscoveredTarget found;
-  found.m_healthy = health->m_healthy && health->m_load;
+  found.m_healthy = health->m_healthy;
   found.m_target.m_id = health->m_id;
-  if (!found.m_healthy) {
+  if (!health->m_healthy || !health->m_load) {
     co_return found;
   }
   found.m_target.m_service = m_settings.m_expectedService;
--- a/src/upstream/target_probes.h
+++ b/src/upstream/target_probes.h
@@ -9,11 +9,10 @@
 // The expected target, found by a health probe and not yet announced.
 struct DiscoveredTarget
 {
-  // Healthy and reporting its load; otherwise only m_target.m_id is set.
   bool m_healthy = false;
-  TargetAnnouncement m_target;
-  Duration m_coldStartRemaining{}; // zero: warm
-  TargetLoad m_load;
+  TargetAnnouncement m_target;      // only its id is set without m_load
+  Duration m_coldStartRemaining{};  // zero: warm
+  std::optional<TargetLoad> m_load; // of a healthy target that reports it
 };
 
 class TargetProbes
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -25,6 +25,7 @@
   uint32_t m_slots = 0;       // requests that it can process concurrently
   Endpoint m_address;         // where it accepts requests
   uint64_t m_incarnation = 0; // increases with each restart
+  WallTime m_processStart{};  // the epoch: unknown
 
   bool operator==(const TargetAnnouncement&) const = default;
 };
@@ -38,9 +39,9 @@
 public:
   // Sets the local target. Returns InvalidHeader when a field is out of range.
   // An announcement equal to the current one changes nothing. While no target
-  // is announced, the first announcement of a target whose health probe failed
-  // is ignored. With kUnknownIncarnation, a later announcement of the same id
-  // sets the incarnation.
+  // is announced, an announcement that AnnouncementPolicy does not accept is
+  // kept until the target's health probe passes. With kUnknownIncarnation, a
+  // later announcement of the same id sets the incarnation.
   virtual std::error_code Announce(const TargetAnnouncement& aTarget) = 0;
   // Sends no new work to the target with this id; empty: the current target.
   // A given id is recorded, so that a later health probe does not announce the
@@ -75,12 +76,15 @@
 {
   NodeId m_node;
   uint64_t m_nodeIncarnation = 0;
-  // The target that is expected on this VM. Until it has announced itself after
-  // the node's start, its health is probed, so that a restarted node need not
-  // wait for the next announcement. Empty service: no discovery by probes.
+  // The target that is expected on this VM. After the node's start, its health
+  // is probed while it is not announced, so that a restarted node need not wait
+  // for the next report. Empty service: no discovery by probes.
   std::string m_expectedService;
   Endpoint m_expectedAddress;
-  Duration m_discoveryTimeout{ std::chrono::seconds(4) };
+  // Longest delay of a report of the expected target. For this time after the
+  // node's start, a report alone does not announce a target that may have left
+  // before.
+  Duration m_maxReportDelay{ std::chrono::seconds(10) };
   Duration m_discoveryInterval{ std::chrono::milliseconds(150) };
   Duration m_connectTimeout{ std::chrono::milliseconds(500) };
   // Between two chunks of a response body.
--- a/tests/drills/platform_drill.cpp
+++ b/tests/drills/platform_drill.cpp
@@ -404,9 +404,10 @@
   BOOST_TEST(restarted.CountRunsAfterLeave() == 0U);
 }
 
-// Guards against a late status report that adds an instance again whose leave
-// was acknowledged by the previous process of the node.
-BOOST_AUTO_TEST_CASE(and_receives_a_late_report_gets_no_new_requests)
+// Guards against late status reports, each newer than the last, that add an
+// instance again whose leave was acknowledged by the previous process of the
+// node.
+BOOST_AUTO_TEST_CASE(and_receives_late_reports_gets_no_new_requests)
 {
   Fleet fleet;
   fleet.Add("lessons", 2);
@@ -423,11 +424,14 @@
   late.m_method = "PUT";
   late.m_path = "/-/instances/i-" + second.m_nodeId;
   late.m_host = "node";
-  late.m_body =
-    R"({"address":")" + ToString(second.m_targetEndpoint) +
-    R"(","born":1000,"info":{"service":"lessons","version":"v1","zone":"z",)" +
-    R"("slots":6},"status":{"state":"ready","sequence":1,"coldLeftMs":0}})";
-  BOOST_TEST(Send(second.m_controlEndpoint, late).m_status == 200U);
+  for (const char* sequence : { "1", "2", "3" }) {
+    late.m_body =
+      R"({"address":")" + ToString(second.m_targetEndpoint) +
+      R"(","born":1000,"info":{"service":"lessons","version":"v1","zone":"z",)" +
+      R"("slots":6},"status":{"state":"ready","coldLeftMs":0,"sequence":)" +
+      sequence + "}}";
+    BOOST_TEST(Send(second.m_controlEndpoint, late).m_status == 200U);
+  }
   const uint64_t before = RequestsAt(fleet, second);
   for (size_t i = 0; i < 50; ++i) {
     const std::string id = "late-" + std::to_string(i);
--- a/tests/unit/targets_test.cpp
+++ b/tests/unit/targets_test.cpp
@@ -125,31 +125,76 @@
 
 BOOST_AUTO_TEST_SUITE(a_node_has_restarted)
 
+namespace {
+
+struct PolicyFixture
+{
+  static constexpr TimePoint kStart{ 100s };
+  const WallTime m_wallStart = WallSeconds(1000);
+  AnnouncementPolicy m_policy{ kStart, m_wallStart, 10s };
+
+  // A report, 1 s after the node's start, of a target that started before it.
+  bool MayAnnounce(const std::string& aId)
+  {
+    return m_policy.ReportMayAnnounce(aId, WallSeconds(900), kStart + 1s);
+  }
+};
+
+} // namespace
+
 // Guards against a health check that announces a target after the node has
 // acknowledged its leave.
-BOOST_AUTO_TEST_CASE(and_health_checks_do_not_announce_a_target_that_has_left)
+BOOST_FIXTURE_TEST_CASE(
+  and_health_checks_do_not_announce_a_target_that_has_left,
+  PolicyFixture)
 {
-  AnnouncementPolicy policy;
-  policy.OnLeave("i");
-  BOOST_TEST(!policy.HealthMayAnnounce("i"));
-  BOOST_TEST(policy.HealthMayAnnounce("j"));
+  m_policy.OnLeave("i");
+  BOOST_TEST(!m_policy.HealthMayAnnounce("i"));
+  BOOST_TEST(m_policy.HealthMayAnnounce("j"));
 }
 
-// Guards against a late report that announces a target whose leave the node
-// acknowledged before its restart, and against a target that is never announced
-// because its health check wrongly fails.
-BOOST_AUTO_TEST_CASE(and_an_unhealthy_target_has_to_report_twice)
-{
-  AnnouncementPolicy policy;
-  BOOST_TEST(policy.ReportMayAnnounce("i"));
-  policy.OnHealth("i", false);
-  BOOST_TEST(!policy.ReportMayAnnounce("i"));
-  policy.OnHealth("i", false);
-  BOOST_TEST(policy.ReportMayAnnounce("i"));
-  BOOST_TEST(policy.ReportMayAnnounce("j"));
-  policy.OnHealth("k", false);
-  policy.OnHealth("k", true);
-  BOOST_TEST(policy.ReportMayAnnounce("k"));
+// Guards against late reports, however many, that announce a target whose leave
+// the node acknowledged before its restart.
+BOOST_FIXTURE_TEST_CASE(and_late_reports_do_not_announce_a_target_that_has_left,
+                        PolicyFixture)
+{
+  BOOST_TEST(!MayAnnounce("i")); // before the first health check
+  m_policy.OnHealth("i", false);
+  for (int report = 0; report < 5; ++report) {
+    BOOST_TEST(!MayAnnounce("i"));
+  }
+  m_policy.OnHealth("j", true);
+  BOOST_TEST(!MayAnnounce("i"));
+}
+
+// Guards against a target that waits although nothing can be late: it is
+// healthy, or it has started after the node.
+BOOST_FIXTURE_TEST_CASE(and_a_target_that_has_not_left_is_announced,
+                        PolicyFixture)
+{
+  m_policy.OnHealth("i", true);
+  BOOST_TEST(MayAnnounce("i"));
+  m_policy.OnHealth("i", false);
+  BOOST_TEST(!MayAnnounce("i"));
+  BOOST_TEST(m_policy.ReportMayAnnounce("k", m_wallStart + 1s, kStart + 2s));
+}
+
+// Guards against a target that is never announced because its health check
+// wrongly fails.
+BOOST_FIXTURE_TEST_CASE(and_an_unhealthy_target_waits_for_late_reports,
+                        PolicyFixture)
+{
+  m_policy.OnHealth("i", false);
+  const WallTime before = WallSeconds(900);
+  BOOST_TEST(!m_policy.ReportMayAnnounce("i", before, kStart + 9999ms));
+  BOOST_TEST(m_policy.ReportMayAnnounce("i", before, kStart + 10s));
+}
+
+// Guards against a wait on a node that checks no health.
+BOOST_AUTO_TEST_CASE(and_without_a_longest_delay_every_report_announces)
+{
+  const AnnouncementPolicy policy(TimePoint(100s), WallSeconds(1000), 0s);
+  BOOST_TEST(policy.ReportMayAnnounce("i", WallSeconds(900), TimePoint(100s)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
