Refuse calls of other nodes when a planned stop begins

Cause: services stop one after the other. The peer server refused new calls only in its own turn, after the front end had waited for its last slow request.

Change: PeerServerService::BeginStop closes the listener and the idle links when the stop of the services begins. Others know then that the node leaves.

Evidence: rejects_a_call_while_another_service_still_stops failed before (the gateway got the call) and passes now; all unit tests and drills pass.

--- a/src/peer/peer_server.cpp
+++ b/src/peer/peer_server.cpp
@@ -124,10 +124,12 @@
     return { "gateway" };
   }
   asio::awaitable<void> Start(Kernel& aKernel) override;
+  void BeginStop() override;
   asio::awaitable<void> Stop() override;
 
 private:
   asio::awaitable<void> AcceptLinks();
+  asio::awaitable<void> CloseIdleLinks();
   asio::awaitable<void> ServeLink(std::shared_ptr<Link> aLink);
   asio::awaitable<bool> ServeFrame(Link& aLink, PeerFrame& aFrame);
   asio::awaitable<bool> ServeCall(Link& aLink, const RequestHead& aHead);
@@ -153,10 +155,11 @@
   std::shared_ptr<CallResolver> m_resolver;
   std::shared_ptr<PublishedConfigSource> m_configSource;
   std::unique_ptr<tcp::acceptor> m_acceptor;
-  std::unique_ptr<Event> m_linkEnded; // notified when a link ends
+  std::unique_ptr<Event> m_linkEnded; // also when the idle links are closed
   std::set<std::shared_ptr<Link>> m_idleLinks;
   size_t m_linkCount = 0;
   bool m_stopping = false;
+  bool m_closingIdleLinks = false;
 };
 
 asio::awaitable<void>
@@ -177,12 +180,29 @@
   co_return;
 }
 
-asio::awaitable<void>
-PeerServerService::Stop()
+// Services that stop before this one may wait for slow requests of callers. A
+// call that was accepted meanwhile could be cut at the limit of the shutdown.
+void
+PeerServerService::BeginStop()
 {
   m_stopping = true;
   boost::system::error_code ignored;
   m_acceptor->close(ignored);
+  m_closingIdleLinks = true;
+  asio::co_spawn(m_executor, CloseIdleLinks(), asio::detached);
+}
+
+asio::awaitable<void>
+PeerServerService::Stop()
+{
+  while (m_closingIdleLinks || m_linkCount > 0) {
+    co_await m_linkEnded->Wait();
+  }
+}
+
+asio::awaitable<void>
+PeerServerService::CloseIdleLinks()
+{
   // A copy, because links that their peer closes are removed from the set.
   const auto idle = m_idleLinks;
   for (const auto& link : idle) {
@@ -197,9 +217,8 @@
   for (const auto& link : m_idleLinks) {
     link->Close();
   }
-  while (m_linkCount > 0) {
-    co_await m_linkEnded->Wait();
-  }
+  m_closingIdleLinks = false;
+  m_linkEnded->Notify();
 }
 
 asio::awaitable<void>
--- a/tests/unit/peer_test.cpp
+++ b/tests/unit/peer_test.cpp
@@ -43,6 +43,37 @@
   int m_calls = 0;
 };
 
+// A service whose Stop does not return before the test allows it, like a front
+// end that waits for a slow request of a caller.
+class SlowService : public Service
+{
+public:
+  std::vector<std::string> RequiredServices() const override
+  {
+    return { "peer_server" };
+  }
+  asio::awaitable<void> Start(Kernel& aKernel) override
+  {
+    m_mayStop = std::make_unique<Event>(aKernel.Executor());
+    co_return;
+  }
+  asio::awaitable<void> Stop() override
+  {
+    while (!m_released) {
+      co_await m_mayStop->Wait();
+    }
+  }
+  void Release()
+  {
+    m_released = true;
+    m_mayStop->Notify();
+  }
+
+private:
+  std::unique_ptr<Event> m_mayStop;
+  bool m_released = false;
+};
+
 class EmptyBody : public BodySource
 {
 public:
@@ -176,6 +207,19 @@
   BOOST_TEST(m_gateway->m_calls == 0);
 }
 
+// Guards against a call that is accepted late in a planned stop, while an
+// earlier service waits for a slow request, and is cut at the stop's end.
+BOOST_AUTO_TEST_CASE(rejects_a_call_while_another_service_still_stops)
+{
+  const auto slow = std::make_shared<SlowService>();
+  m_kernel.Add("slow", slow);
+  Run([this, slow]() -> asio::awaitable<void> {
+    co_await SendCallDuringStop(50ms);
+    slow->Release();
+  });
+  BOOST_TEST(m_gateway->m_calls == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(whose_connecting_side_has_just_sent_a_call)
