Charge the budget of repeats for every repeated execution

The cause comes from the model.

Cause: calls of an execution that is a repeat count as repeats at the called service. The budget took only requests that may have been executed before for such ones (0.25 of the limit) and gave all others 0.45. A request that a target rejected is executed by its repeat and makes the same calls. And a rejected first arrival raised the share, although it made no calls.

Change: rejected first arrivals allow no repeats; all repeats get a third of the limit, as a service gets its own and, with two calls, twice its caller's.

Evidence: repeat_budget_fuzz now lets targets of the calling service reject.

--- a/src/retry/repeat_budget.cpp
+++ b/src/retry/repeat_budget.cpp
@@ -18,10 +18,12 @@
   }
 
   void SetTargetCount(size_t aTargets, TimePoint aNow) override;
-  void OnFirstArrival(TimePoint aNow) override
+  void OnFirstArrival(bool aRejected, TimePoint aNow) override
   {
     Expire(aNow);
-    m_firstArrivals.push_back(aNow);
+    if (!aRejected) {
+      m_firstArrivals.push_back(aNow);
+    }
   }
   bool HasRoom(bool aExecuted, TimePoint aNow) override;
   bool TryTake(bool aExecuted, TimePoint aNow) override;
@@ -40,7 +42,7 @@
 
   RepeatBudgetSettings m_settings;
   TimePoint m_start;
-  std::deque<TimePoint> m_firstArrivals;   // within the last window
+  std::deque<TimePoint> m_firstArrivals;   // not rejected; in the last window
   std::deque<TimePoint> m_repeats;         // within the last window
   std::deque<TimePoint> m_executedRepeats; // those of them
   size_t m_targets = 0;
@@ -134,11 +136,11 @@
 RepeatBudgetSettings
 RepeatBudgetFor(const RepeatLimit& aDeployment, Duration aWindow)
 {
-  // The calls of a repeated execution count as repeats at the services that it
-  // calls. Executions that make calls fail, and are repeated, more often than
-  // others, so with two calls each a called service gets up to the first share
-  // and twice the second one.
-  constexpr double kUsedShare = 0.45;
+  // Every repeat may be executed, also the first execution of a request that a
+  // target rejected before, and the calls of that execution count as repeats at
+  // the services that it calls. With two calls each, a called service gets its
+  // own repeats and twice those of its caller.
+  constexpr double kUsedShare = 1.0 / 3;
   constexpr double kExecutedShare = 0.25;
   RepeatBudgetSettings settings;
   settings.m_all = Share(aDeployment, kUsedShare);
--- a/src/retry/repeat_budget.h
+++ b/src/retry/repeat_budget.h
@@ -22,8 +22,9 @@
 // [1] Settings
 //-----------------------------------------------------------------------------
 
-// Repeats allowed in any window: m_ratio of the first arrivals in it, and an
-// equal part of m_burst for each target of the service.
+// Repeats allowed in any window: m_ratio of the requests in it that the target
+// did not reject at their first arrival, and an equal part of m_burst for each
+// target of the service.
 struct RepeatLimit
 {
   double m_ratio = 0; // zero or less: no limit
@@ -33,8 +34,8 @@
 struct RepeatBudgetSettings
 {
   RepeatLimit m_all;
-  // Of requests that may have been executed before. Their further calls count
-  // as repeats at the services that they call, so they get less.
+  // Of requests that may have been executed before. Requests that make calls
+  // fail, and are repeated, more often than others, so they get less.
   RepeatLimit m_executed;
   Duration m_window{ std::chrono::seconds(10) };
 };
@@ -56,8 +57,10 @@
   // on this VM may have used it. When the number falls, the earlier one stays
   // in force for a window.
   virtual void SetTargetCount(size_t aTargets, TimePoint aNow) = 0;
-  // Records a request that reaches the target for the first time.
-  virtual void OnFirstArrival(TimePoint aNow) = 0;
+  // Records the end of a request that reached the target for the first time.
+  // One that the target rejected allows no repeats: it made no calls, so it
+  // does not raise the limit of the services that its repeat calls.
+  virtual void OnFirstArrival(bool aRejected, TimePoint aNow) = 0;
   // True when a repeat may reach the target now. aExecuted: the request may
   // have been executed before.
   virtual bool HasRoom(bool aExecuted, TimePoint aNow) = 0;
--- a/src/upstream/gateway.cpp
+++ b/src/upstream/gateway.cpp
@@ -123,6 +123,7 @@
     : m_gateway(aGateway)
     , m_call(aHead.m_call)
     , m_identity(aHead.m_identity)
+    , m_repeat(aHead.m_repeat)
     , m_startTime(aGateway.m_clock->Now())
     , m_responseTime(m_startTime)
   {
@@ -156,6 +157,11 @@
   void FinishRecords(TimePoint aNow)
   {
     m_gateway.m_ledger->Finish(m_call, m_callOutcome, aNow);
+    if (!m_repeat) {
+      const bool rejected = m_callOutcome == CallOutcome::Shed ||
+                            m_callOutcome == CallOutcome::Unsent;
+      m_gateway.m_repeatBudget->OnFirstArrival(rejected, aNow);
+    }
     // A crash has already removed the calls that were running at the time.
     if (m_gateway.m_runningCalls.erase(m_call) > 0) {
       const bool completed = m_callOutcome == CallOutcome::Completed;
@@ -174,6 +180,7 @@
   Gateway& m_gateway;
   CallId m_call;
   RequestIdentity m_identity;
+  bool m_repeat;
   TimePoint m_startTime;
   TimePoint m_responseTime;
 };
@@ -388,9 +395,6 @@
     m_quarantine->OnFinished(aHead.m_identity, false, now);
     return started.m_code;
   }
-  if (!aHead.m_repeat) {
-    m_repeatBudget->OnFirstArrival(now);
-  }
   m_runningCalls.emplace(aHead.m_call, aHead.m_identity);
   return std::nullopt;
 }
--- a/tests/fuzz/repeat_budget_fuzz.cpp
+++ b/tests/fuzz/repeat_budget_fuzz.cpp
@@ -30,18 +30,25 @@
     Recount(kStart);
   }
 
+  struct Arrival
+  {
+    bool m_repeat = false;
+    bool m_executed = false; // before, by an earlier arrival
+    bool m_rejected = false; // by the target that it reaches
+  };
+
   // False when the node that was chosen refuses the repeat.
-  bool Arrive(bool aRepeat, bool aExecuted, TimePoint aNow)
+  bool Arrive(const Arrival& aArrival, TimePoint aNow)
   {
     // The square prefers the first nodes: traffic is not spread evenly.
     const double share = m_random.NextDouble();
     const auto index = static_cast<size_t>(
       share * share * static_cast<double>(m_budgets.size()));
     RepeatBudget& budget = *m_budgets[index];
-    if (aRepeat) {
-      return budget.TryTake(aExecuted, aNow);
+    if (aArrival.m_repeat) {
+      return budget.TryTake(aArrival.m_executed, aNow);
     }
-    budget.OnFirstArrival(aNow);
+    budget.OnFirstArrival(aArrival.m_rejected, aNow);
     return true;
   }
   void Restart(TimePoint aNow)
@@ -110,53 +117,75 @@
 struct Services
 {
   SeededRandom m_random;
-  double m_rejected; // share of the arrivals that targets of m_called reject
+  double m_callerRejected; // share of the arrivals that its targets reject
+  double m_calledRejected;
   Holders m_caller;
   Holders m_called;
   double m_largestUse = 0; // share of the limit
 
-  Services(uint64_t aSeed, double aRejected, size_t aCallers, size_t aCalled)
+  Services(uint64_t aSeed,
+           double aCallerRejected,
+           double aCalledRejected,
+           size_t aCallers,
+           size_t aCalled)
     : m_random(aSeed)
-    , m_rejected(aRejected)
+    , m_callerRejected(aCallerRejected)
+    , m_calledRejected(aCalledRejected)
     , m_caller(aCallers, m_random)
     , m_called(aCalled, m_random)
   {
   }
 
-  // True when a target accepts the call. aOfRepeat: the execution that makes it
-  // is a repeat, so each of its arrivals counts.
-  bool Call(bool aOfRepeat, TimePoint aNow)
+  // Tries targets until one accepts the request; false when none does.
+  // aReached: an earlier arrival has reached a target; set for later ones.
+  // aOfRepeat: the execution that makes this call is a repeat, so each of its
+  // arrivals counts.
+  bool Send(Holders& aService,
+            double aRejectedShare,
+            bool aExecuted,
+            bool aOfRepeat,
+            bool& aReached,
+            TimePoint aNow)
   {
-    m_called.m_requests.push_back(aNow);
-    bool reached = false;
     for (int refusals = 0; refusals <= kMaxRefusals; ++refusals) {
-      if (!m_called.Arrive(reached, false, aNow)) {
+      const bool rejected = m_random.NextDouble() < aRejectedShare;
+      if (!aService.Arrive({ aReached, aExecuted, rejected }, aNow)) {
         continue;
       }
-      if (reached || aOfRepeat) {
-        m_called.m_repeats.push_back(aNow);
+      if (aReached || aOfRepeat) {
+        aService.m_repeats.push_back(aNow);
       }
-      reached = true;
-      if (m_random.NextDouble() >= m_rejected) {
+      if (!rejected) {
         return true;
       }
+      aReached = true;
     }
     return false;
   }
+  bool Call(bool aOfRepeat, TimePoint aNow)
+  {
+    m_called.m_requests.push_back(aNow);
+    bool reached = false;
+    return Send(m_called, m_calledRejected, false, aOfRepeat, reached, aNow);
+  }
   // Most executions make two calls and fail without one of them; the failed
   // ones are repeated once.
   void Request(TimePoint aNow)
   {
     m_caller.m_requests.push_back(aNow);
     const bool makesCalls = m_random.NextDouble() < 0.7;
-    m_caller.Arrive(false, false, aNow);
-    const auto execute = [&](bool aRepeat) {
-      const bool first = !makesCalls || Call(aRepeat, aNow);
-      const bool second = !makesCalls || Call(aRepeat, aNow);
+    bool reached = false;
+    const auto execute = [&](bool aExecuted) {
+      if (!Send(m_caller, m_callerRejected, aExecuted, false, reached, aNow)) {
+        return true; // not executed, so not repeated as a failed execution
+      }
+      const bool isRepeat = reached;
+      reached = true;
+      const bool first = !makesCalls || Call(isRepeat, aNow);
+      const bool second = !makesCalls || Call(isRepeat, aNow);
       return first && second;
     };
-    if (!execute(false) && m_caller.Arrive(true, true, aNow)) {
-      m_caller.m_repeats.push_back(aNow);
+    if (!execute(false)) {
       execute(true);
     }
   }
@@ -195,16 +224,17 @@
 BOOST_AUTO_TEST_SUITE(repeat_budget_of_a_fleet)
 
 // Guards against repeats beyond the deployment's limit, at a service and at the
-// one that it calls, while targets reject a share of the arrivals and nodes
-// join, leave and restart.
+// one that it calls, while targets of both reject a share of the arrivals and
+// nodes join, leave and restart.
 BOOST_AUTO_TEST_CASE(the_limit_holds_in_every_window)
 {
   double largestUse = 0;
   const bool held = rc::check([&largestUse](uint64_t aSeed) {
-    const double rejected = 0.2 + 0.1 * *rc::gen::inRange(0, 7);
+    const double callerRejected = 0.1 * *rc::gen::inRange(0, 7);
+    const double calledRejected = 0.2 + 0.1 * *rc::gen::inRange(0, 7);
     const auto callers = *rc::gen::inRange<size_t>(1, 40);
     const auto called = *rc::gen::inRange<size_t>(1, 40);
-    Services services(aSeed, rejected, callers, called);
+    Services services(aSeed, callerRejected, calledRejected, callers, called);
     TimePoint now = kStart;
     for (int step = 0; step < 1500; ++step) {
       now += 20ms;
--- a/tests/unit/repeat_budget_test.cpp
+++ b/tests/unit/repeat_budget_test.cpp
@@ -43,7 +43,7 @@
   budget->SetTargetCount(10, kStart);
   const TimePoint now = kStart + 20s;
   for (int i = 0; i < 50; ++i) {
-    budget->OnFirstArrival(now);
+    budget->OnFirstArrival(false, now);
   }
   BOOST_TEST(TakeAll(*budget, now) == 9); // 50 * 0.1 + 40 / 10
   BOOST_TEST(TakeAll(*budget, now + 9999ms) == 0);
@@ -58,13 +58,27 @@
   budget->SetTargetCount(10, kStart);
   const TimePoint now = kStart + 20s;
   for (int i = 0; i < 60; ++i) {
-    budget->OnFirstArrival(now);
+    budget->OnFirstArrival(false, now);
   }
   BOOST_TEST(TakeAll(*budget, now, true) == 5);
   BOOST_TEST(TakeAll(*budget, now, false) == 5); // 10 in all
   BOOST_TEST(!budget->HasRoom(true, now));
 }
 
+// Guards against repeats that rejected requests allow: executing them makes
+// calls, while the rejected ones made none that raise the called service's
+// limit.
+BOOST_AUTO_TEST_CASE(grants_no_share_of_rejected_requests)
+{
+  const auto budget = MakeRepeatBudget(Settings(0.1, 40), kStart);
+  budget->SetTargetCount(10, kStart);
+  const TimePoint now = kStart + 20s;
+  for (int i = 0; i < 50; ++i) {
+    budget->OnFirstArrival(true, now);
+  }
+  BOOST_TEST(TakeAll(*budget, now) == 4); // the part of the burst
+}
+
 // Guards against a node that takes over the parts of others at the moment in
 // which it loses contact with them.
 BOOST_AUTO_TEST_CASE(
@@ -91,7 +105,7 @@
   budget->SetTargetCount(1, kStart);
   BOOST_TEST(TakeAll(*budget, kStart + 5s) == 0);
   for (int i = 0; i < 20; ++i) {
-    budget->OnFirstArrival(kStart + 5s);
+    budget->OnFirstArrival(false, kStart + 5s);
   }
   BOOST_TEST(TakeAll(*budget, kStart + 5s) == 2);
 }
