--- a/src/peer/peer_server.cpp
+++ b/src/peer/peer_server.cpp
@@ -155,7 +155,8 @@
   std::shared_ptr<CallResolver> m_resolver;
   std::shared_ptr<PublishedConfigSource> m_configSource;
   std::unique_ptr<tcp::acceptor> m_acceptor;
-  std::unique_ptr<Event> m_linkEnded; // also when the idle links are closed
+  // Notified when a link ends and when the idle links have been closed.
+  std::unique_ptr<Event> m_linkEnded;
   std::set<std::shared_ptr<Link>> m_idleLinks;
   size_t m_linkCount = 0;
   bool m_stopping = false;
--- a/tests/unit/endless_input_test.cpp
+++ b/tests/unit/endless_input_test.cpp
@@ -1,6 +1,7 @@
 // Tests that a peer cannot fill a node's memory with bytes that never complete
 // a chunk header, a trailer or a head.
 #include "platform/store_client.h"
+#include "unit/call_fakes.h"
 #include "upstream/target_client.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -26,26 +27,6 @@
 const std::string kChunkedHead = "HTTP/1.1 200 OK\r\n"
                                  "Transfer-Encoding: chunked\r\n\r\n";
 
-class NoBody : public BodySource
-{
-public:
-  asio::awaitable<BodyChunk> Read() override { co_return BodyChunk(); }
-};
-
-class DiscardingResponse : public ResponseSink
-{
-public:
-  asio::awaitable<std::error_code> WriteHead(ResponseHead /*aHead*/) override
-  {
-    co_return std::error_code();
-  }
-  asio::awaitable<std::error_code> WriteBody(std::string_view /*aBytes*/,
-                                             bool /*aLast*/) override
-  {
-    co_return std::error_code();
-  }
-};
-
 // A server that responds to the first request with a beginning and then repeats
 // one byte until the connection closes.
 struct EndlessFixture
@@ -105,8 +86,8 @@
       head.m_method = "GET";
       head.m_path = "/";
       head.m_body = "";
-      NoBody body;
-      DiscardingResponse response;
+      EmptyBody body;
+      DiscardingSink response;
       const std::function<void()> onResponse = []() {};
       const TimePoint deadline = SystemClock().Now() + 60s;
       result = co_await client->Send(
--- a/tests/unit/late_response_test.cpp
+++ b/tests/unit/late_response_test.cpp
@@ -2,6 +2,7 @@
 // use again, is never taken for the response to another request or attempt.
 #include "httpbase/httpbase.h"
 #include "platform/dialects.h"
+#include "unit/call_fakes.h"
 #include "upstream/target_client.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -25,12 +26,6 @@
 
 using Response = http::response<http::string_body>;
 
-class NoBody : public BodySource
-{
-public:
-  asio::awaitable<BodyChunk> Read() override { co_return BodyChunk(); }
-};
-
 class RecordingResponse : public ResponseSink
 {
 public:
@@ -151,7 +146,7 @@
       head.m_headers.clear();
     }
     head.m_body = "";
-    NoBody body;
+    EmptyBody body;
     RecordingResponse response;
     const std::function<void()> onResponse = []() {};
     const TimePoint deadline = SystemClock().Now() + 20s;
--- a/tests/unit/peer_test.cpp
+++ b/tests/unit/peer_test.cpp
@@ -2,6 +2,7 @@
 #include "peer/link.h"
 
 #include "logging/logging.h"
+#include "unit/call_fakes.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -74,26 +75,6 @@
   bool m_released = false;
 };
 
-class EmptyBody : public BodySource
-{
-public:
-  asio::awaitable<BodyChunk> Read() override { co_return BodyChunk(); }
-};
-
-class DiscardingSink : public ResponseSink
-{
-public:
-  asio::awaitable<std::error_code> WriteHead(ResponseHead /*aHead*/) override
-  {
-    co_return std::error_code();
-  }
-  asio::awaitable<std::error_code> WriteBody(std::string_view /*aBytes*/,
-                                             bool /*aLast*/) override
-  {
-    co_return std::error_code();
-  }
-};
-
 RequestHead
 MakeCall()
 {
