--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -37,10 +37,8 @@
     7,
     { ServiceText{ "catalogue" } },
     "shop.example",
-    { RouteText{
-        "read", "/pages/", "safe", 1000, 400, 2, "catalogue" },
-      RouteText{
-        "order", "/orders/", "unsafe", 1200, 500, 1, "catalogue" } });
+    { RouteText{ "read", "/pages/", "safe", 1000, 400, 2, "catalogue" },
+      RouteText{ "order", "/orders/", "unsafe", 1200, 500, 1, "catalogue" } });
   Deployment deployment(plan, config, [](InstanceSettings& aSettings) {
     aSettings.m_poisonPath = "/orders/broken";
     aSettings.m_workS = 0.12;
@@ -72,12 +70,10 @@
         const std::string path = (isOrder ? "/orders/" : "/pages/") +
                                  std::to_string(i) + "/" +
                                  std::to_string(++number);
-        const ClientRequest request = { isOrder ? "POST" : "GET",
-                                        "shop.example",
-                                        path,
-                                        isOrder ? path : "",
-                                        1200,
-                                        NewAttemptId() };
+        const ClientRequest request = {
+          isOrder ? "POST" : "GET", "shop.example", path,
+          isOrder ? path : "",      1200,           NewAttemptId()
+        };
         const ClientAnswer answer = Send(node.Outbound(), request);
         ++(answer.m_status == 200 ? served : failed);
         if (isOrder && answer.m_status != 200) {
@@ -109,8 +105,8 @@
           continue;
         }
         const ClientRequest request = {
-          "POST", "shop.example",  "/orders/broken",
-          "order 7",  1200, NewAttemptId()
+          "POST",    "shop.example", "/orders/broken",
+          "order 7", 1200,           NewAttemptId()
         };
         {
           const std::lock_guard lock(mutex);
@@ -165,9 +161,9 @@
   std::set<std::string> late;
   for (const Arrival& arrival : arrivals) {
     const Sending& sending = sendings[arrival.m_attemptId];
-    const bool counts =
-      arrivals.size() > 2 &&
-      arrival.m_time > arrivals[2].m_time + kStableWindow && sending.m_inTouch;
+    const bool counts = arrivals.size() > 2 &&
+                        arrival.m_time > arrivals[2].m_time + kStableWindow &&
+                        sending.m_inTouch;
     if (counts) {
       late.insert(arrival.m_attemptId);
     }
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -61,8 +61,8 @@
           continue;
         }
         const ClientRequest request = {
-          "POST", "shop.example", "/orders/" + std::to_string(i), "order", 1200,
-          NewAttemptId()
+          "POST",  "shop.example", "/orders/" + std::to_string(i),
+          "order", 1200,           NewAttemptId()
         };
         {
           const std::lock_guard lock(mutex);
@@ -105,8 +105,7 @@
 
   // The time from which the new version binds every machine: those that
   // are in touch again, with the longest stretch that the rules give.
-  const double bound =
-    std::max(ack + kConfig + kOuter, calmAt + kStableWindow);
+  const double bound = std::max(ack + kConfig + kOuter, calmAt + kStableWindow);
   size_t late = 0;
   std::map<size_t, double> last;
   for (size_t i = 0; i < 3; ++i) {
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -28,8 +28,7 @@
       aVersion,
       { ServiceText{ "fieldwork" } },
       "shop.example",
-      { RouteText{
-        "photo", "/photos/", "upload", 1200, 500, 1, "fieldwork" } },
+      { RouteText{ "photo", "/photos/", "upload", 1200, 500, 1, "fieldwork" } },
       aMaxBodyBytes);
   };
   const bool isTroubled = IsTroubled();
--- a/review/harness2/net.cpp
+++ b/review/harness2/net.cpp
@@ -179,8 +179,7 @@
 Connection::Write(std::string_view aBytes, double aUntil)
 {
   while (!aBytes.empty()) {
-    const ssize_t sent =
-      send(m_fd, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
+    const ssize_t sent = send(m_fd, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
     if (sent > 0) {
       aBytes.remove_prefix(static_cast<size_t>(sent));
     } else if (errno == EAGAIN) {
@@ -258,8 +257,7 @@
     while (begin < line->size() && (*line)[begin] == ' ') {
       ++begin;
     }
-    message.m_headers.emplace_back(line->substr(0, colon),
-                                   line->substr(begin));
+    message.m_headers.emplace_back(line->substr(0, colon), line->substr(begin));
   }
   if (!line) {
     return std::nullopt;
@@ -283,9 +281,8 @@
   }
   const std::string length = message.Header("Content-Length");
   if (!length.empty()) {
-    if (!TakeBytes(strtoul(length.c_str(), nullptr, 10),
-                   aUntil,
-                   message.m_body)) {
+    if (!TakeBytes(
+          strtoul(length.c_str(), nullptr, 10), aUntil, message.m_body)) {
       return std::nullopt;
     }
   } else if (aIsResponse && message.Status() != 204) {
@@ -313,8 +310,7 @@
   const int on = 1;
   setsockopt(m_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   const sockaddr_in address = ToSockaddr(aAddress);
-  if (bind(
-        m_fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) !=
+  if (bind(m_fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) !=
         0 ||
       listen(m_fd, 512) != 0) {
     fprintf(stderr,
--- a/review/harness2/world.cpp
+++ b/review/harness2/world.cpp
@@ -27,8 +27,8 @@
                const Headers& aHeaders,
                std::string_view aBody)
 {
-  std::string text = "HTTP/1.1 " + std::to_string(aStatus) + " " +
-                     std::string(aReason) + "\r\n";
+  std::string text =
+    "HTTP/1.1 " + std::to_string(aStatus) + " " + std::string(aReason) + "\r\n";
   for (const auto& [name, value] : aHeaders) {
     text += name + ": " + value + "\r\n";
   }
@@ -71,8 +71,8 @@
               (j < aBytes.size() ? static_cast<unsigned char>(aBytes[j]) : 0);
     }
     for (size_t j = 0; j < 4; ++j) {
-      text += i + j <= aBytes.size() ? digits[(group >> (18 - 6 * j)) & 63]
-                                     : '=';
+      text +=
+        i + j <= aBytes.size() ? digits[(group >> (18 - 6 * j)) & 63] : '=';
     }
   }
   return text;
@@ -211,12 +211,12 @@
     position += 4 + size;
   }
   m_appended.notify_all();
-  return FormatResponse(200,
-                        "OK",
-                        { { "Content-Type", "application/json" } },
-                        "{\"offset\":" + std::to_string(offset) +
-                          ",\"endOffset\":" +
-                          std::to_string(aTopic.m_records.size()) + "}");
+  return FormatResponse(
+    200,
+    "OK",
+    { { "Content-Type", "application/json" } },
+    "{\"offset\":" + std::to_string(offset) +
+      ",\"endOffset\":" + std::to_string(aTopic.m_records.size()) + "}");
 }
 
 std::string
@@ -438,14 +438,12 @@
                          arrived < m_coldUntil });
   if (m_settings.m_coldCrashPerS > 0 && arrived < m_coldUntil) {
     const double since = std::max(m_coldSince, arrived - 1);
-    const auto recent =
-      std::count_if(m_arrivals.rbegin(),
-                    m_arrivals.rbegin() +
-                      static_cast<ptrdiff_t>(std::min<size_t>(
-                        m_arrivals.size(), 4 * m_settings.m_coldCrashPerS)),
-                    [&](const Arrival& aArrival) {
-                      return aArrival.m_time > since;
-                    });
+    const auto recent = std::count_if(
+      m_arrivals.rbegin(),
+      m_arrivals.rbegin() +
+        static_cast<ptrdiff_t>(
+          std::min<size_t>(m_arrivals.size(), 4 * m_settings.m_coldCrashPerS)),
+      [&](const Arrival& aArrival) { return aArrival.m_time > since; });
     if (recent > m_settings.m_coldCrashPerS) {
       Record::Line("instance %s of %s crashes: %d requests in a second while "
                    "cold",
@@ -522,12 +520,11 @@
   Headers headers = echo;
   headers.emplace_back("Sassafrasquay-Server-Stamp", stamp);
   const bool isLate = end >= until;
-  aConnection.Write(
-    FormatResponse(isLate ? 504 : 200,
-                   isLate ? "Gateway Timeout" : "OK",
-                   headers,
-                   machine + " " + attemptId + "\n"),
-    Now() + 2);
+  aConnection.Write(FormatResponse(isLate ? 504 : 200,
+                                   isLate ? "Gateway Timeout" : "OK",
+                                   headers,
+                                   machine + " " + attemptId + "\n"),
+                    Now() + 2);
 }
 
 bool
@@ -554,8 +551,8 @@
     return false;
   }
   const std::string request =
-    "PUT /-/instances/" + id + " HTTP/1.1\r\nHost: " +
-    m_settings.m_control.Text() +
+    "PUT /-/instances/" + id +
+    " HTTP/1.1\r\nHost: " + m_settings.m_control.Text() +
     "\r\nContent-Type: application/json\r\nConnection: close\r\n"
     "Content-Length: " +
     std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -607,9 +604,7 @@
   "probesPerS=60";
 
 void
-ReplaceAll(std::string& aText,
-           const std::string& aFrom,
-           const std::string& aTo)
+ReplaceAll(std::string& aText, const std::string& aFrom, const std::string& aTo)
 {
   for (size_t at = 0; (at = aText.find(aFrom, at)) != std::string::npos;
        at += aTo.size()) {
@@ -685,11 +680,9 @@
     dup2(output, 1);
     dup2(output, 2);
     const char* const arguments[] = { "target/sassafrasquay", "node", nullptr };
-    const char* const environment[] = { variable.c_str(),
-                                        path.c_str(),
-                                        "HOME=/tmp",
-                                        "LANG=C.UTF-8",
-                                        nullptr };
+    const char* const environment[] = {
+      variable.c_str(), path.c_str(), "HOME=/tmp", "LANG=C.UTF-8", nullptr
+    };
     execve(arguments[0],
            const_cast<char* const*>(arguments),
            const_cast<char* const*>(environment));
@@ -842,8 +835,8 @@
     text << (i > 0 ? "," : "") << "{\"name\":\"" << aServices[i].m_name
          << "\",\"healthPath\":\"/healthz\",\"maxConnections\":260,"
             "\"protocol\":\"h1\",\"tls\":false,\"coldS\":"
-         << aServices[i].m_coldS
-         << ",\"coldPerS\":" << aServices[i].m_coldPerS << "}";
+         << aServices[i].m_coldS << ",\"coldPerS\":" << aServices[i].m_coldPerS
+         << "}";
   }
   text << "],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":"
        << aMaxBodyBytes
@@ -902,9 +895,8 @@
   std::vector<std::string> ips;
   Ports ports;
   for (int attempt = 0; attempt < 100; ++attempt) {
-    const std::string net =
-      "127." + std::to_string(20 + random() % 200) + "." +
-      std::to_string(random() % 250) + ".";
+    const std::string net = "127." + std::to_string(20 + random() % 200) + "." +
+                            std::to_string(random() % 250) + ".";
     ips.clear();
     for (size_t i = 0; i <= aPlan.size(); ++i) {
       ips.push_back(net + std::to_string(i + 1)); // the last is the store's
@@ -918,11 +910,16 @@
     ports.m_store = base + 5;
     bool isFree = true;
     for (const std::string& ip : ips) {
-      for (const int port :
-           { base + 0, base + 1, base + 2, base + 3, base + 4, base + 5, 9102 }) {
+      for (const int port : { base + 0,
+                              base + 1,
+                              base + 2,
+                              base + 3,
+                              base + 4,
+                              base + 5,
+                              9102 }) {
         const Address address = { ip, static_cast<uint16_t>(port) };
-        isFree = isFree && IsFree(address, SOCK_STREAM) &&
-                 IsFree(address, SOCK_DGRAM);
+        isFree =
+          isFree && IsFree(address, SOCK_STREAM) && IsFree(address, SOCK_DGRAM);
       }
     }
     if (isFree) {
