--- a/review/harness2/world.cpp
+++ b/review/harness2/world.cpp
@@ -120,12 +120,6 @@
   return Now();
 }
 
-double
-Store::Remove(const std::string& aKey)
-{
-  return Put(aKey, "");
-}
-
 void
 Store::SetSilent(bool aIsSilent)
 {
@@ -278,7 +272,6 @@
 
 Instance::Instance(InstanceSettings aSettings)
   : m_settings(std::move(aSettings))
-  , m_work(m_settings.m_workS)
 {
   m_maintainer = std::thread([this] { Maintain(); });
 }
@@ -356,13 +349,6 @@
   return m_id;
 }
 
-double
-Instance::ColdLeft() const
-{
-  const std::lock_guard lock(m_mutex);
-  return std::max(0.0, m_coldUntil - Now());
-}
-
 // Callers hold the mutex.
 std::string
 Instance::LoadHeader() const
@@ -485,7 +471,7 @@
   ++m_running;
   m_arrivals[index].m_ran = true;
   const double work =
-    m_work * (Now() < m_coldUntil ? m_settings.m_coldSlowdown : 1);
+    m_settings.m_workS * (Now() < m_coldUntil ? m_settings.m_coldSlowdown : 1);
   const std::string stamp = Hex(Generator()()) + ".07.5a2.600.0.c9f2a4d1";
   const std::string machine = m_settings.m_name;
   const std::string id = m_id;
@@ -577,7 +563,7 @@
     {
       const std::lock_guard lock(m_mutex);
       restart = m_restartAt > 0 && Now() >= m_restartAt;
-      report = m_listener && Now() >= m_nextReport && m_reporting;
+      report = m_listener && Now() >= m_nextReport;
     }
     if (restart) {
       Start(true);
@@ -700,16 +686,6 @@
   kill(m_pid, SIGTERM);
 }
 
-void
-Node::Kill()
-{
-  Record::Line("node %s gets SIGKILL", m_settings.m_name.c_str());
-  m_upSince = -1;
-  kill(m_pid, SIGKILL);
-  waitpid(m_pid, nullptr, 0);
-  m_pid = -1;
-}
-
 void
 Node::AwaitExit(double aGrace)
 {
--- a/review/harness2/world.h
+++ b/review/harness2/world.h
@@ -131,7 +131,6 @@
 
   // Writes as the operator does. Returns the time of the acknowledgement.
   double Put(const std::string& aKey, const std::string& aValue);
-  double Remove(const std::string& aKey);
   // While the store is silent, it answers nothing. A connection on which an
   // answer is lost returns nothing further, also later.
   void SetSilent(bool aIsSilent);
@@ -208,11 +207,8 @@
 
   std::vector<Arrival> Arrivals() const;
   std::string Id() const;
-  double ColdLeft() const;
-  void SetWork(double aSeconds) { m_work = aSeconds; }
   // Time of the last status report that a node acknowledged.
   double LastReport() const { return m_lastReport; }
-  void SetReporting(bool aIsOn) { m_reporting = aIsOn; }
 
 private:
   void Serve(Connection& aConnection, uint64_t aLifetime);
@@ -238,9 +234,7 @@
   std::atomic<int> m_coldResponses = 0;
   double m_restartAt = 0; // 0 while it runs
   double m_nextReport = 0;
-  std::atomic<double> m_work;
   std::atomic<double> m_lastReport = 0;
-  std::atomic<bool> m_reporting = true;
   std::atomic<bool> m_stopped = false;
   std::unique_ptr<Listener> m_listener;
   std::vector<std::unique_ptr<Listener>> m_old;
@@ -279,7 +273,6 @@
 
   void Start();
   void Terminate(); // SIGTERM
-  void Kill();      // SIGKILL
   // Waits for the end of the process; SIGKILL after aGrace seconds.
   void AwaitExit(double aGrace);
 
